--- a/cmd/lemonmoor/main.go
+++ b/cmd/lemonmoor/main.go
@@ -17,6 +17,7 @@
 	"lemonmoor/internal/controller"
 	"lemonmoor/internal/engine"
 	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/peers"
 	"lemonmoor/internal/settings"
 	"lemonmoor/internal/tuning"
 )
@@ -98,7 +99,7 @@
 
 	log := logger(set.Node)
 	loop := engine.NewLoop()
-	rt := engine.NewReal(loop)
+	rt := engine.NewReal(loop, peers.New())
 	// Below 2^50, exact wherever JSON numbers are read as floating point.
 	node := controller.New(rt, set, rand.Uint64()>>14, log)
 	server := httpwire.NewServer(func(req *httpwire.Request, reply httpwire.Reply) {
@@ -116,6 +117,12 @@
 			cancel(fmt.Errorf("serve on %s: %w", set.ServeOn, err))
 		}
 	}()
+	go func() {
+		err := peers.Serve(set.PeerBind, func(path string, body []byte, answer func([]byte, bool)) {
+			loop.Post(engine.Reports, func() { node.Peer(path, body, answer) })
+		}, log)
+		cancel(err)
+	}()
 	loop.Post(engine.Decisions, node.Start)
 	loop.Run(ctx, node.Settle)
 	return context.Cause(ctx)
--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -71,6 +71,15 @@
 	return slices.ContainsFunc(h.images, func(c cached) bool { return c.name == image })
 }
 
+// Images lists the images that the machine has.
+func (h *Host) Images() []string {
+	names := make([]string, len(h.images))
+	for i, c := range h.images {
+		names[i] = c.name
+	}
+	return names
+}
+
 func (h *Host) use(image string, gb float64) {
 	h.images = slices.DeleteFunc(h.images, func(c cached) bool { return c.name == image })
 	h.images = append(h.images, cached{image, gb})
@@ -87,15 +96,15 @@
 	}
 }
 
-// Office is what the table asks of the lease.
+// Office is what the table asks of the block's lease.
 type Office interface {
 	Token() uint64
 	Valid() bool
 	Renew()
 }
 
-// Book is what the table asks of the work records.
-type Book interface {
+// Shelf is what the table asks of the block's records.
+type Shelf interface {
 	IsLoaded() bool
 	Job(id string) *work.Job
 	Jobs(func(*work.Job))
@@ -109,27 +118,22 @@
 	// Waiting is called for a task that has become free for another machine.
 	Waiting func(*work.Task)
 	// Type finds a machine type by its label.
-	Type func(label string) *jobs.MachineType
-	// HostUp is called for the first report of a machine.
-	HostUp func(*Host)
-
+	Type   func(label string) *jobs.MachineType
 	rt     engine.Runtime
 	office Office
-	book   Book
+	book   Shelf
 	set    *settings.Settings
 	log    *slog.Logger
 	hosts  map[string]*Host
 	begun  time.Duration // this term
-	heard  time.Duration // the newest report of any machine
 	ready  map[*Host]bool
 	gone   map[string]bool // returned machines
 }
 
 // NewTable returns an empty table.
-func NewTable(rt engine.Runtime, office Office, book Book, set *settings.Settings, log *slog.Logger) *Table {
+func NewTable(rt engine.Runtime, office Office, book Shelf, set *settings.Settings, log *slog.Logger) *Table {
 	return &Table{rt: rt, office: office, book: book, set: set, log: log,
-		hosts: map[string]*Host{}, ready: map[*Host]bool{}, gone: map[string]bool{},
-		HostUp: func(*Host) {}}
+		hosts: map[string]*Host{}, ready: map[*Host]bool{}, gone: map[string]bool{}}
 }
 
 // Begin starts a term: whatever the records place may be on its machine under
@@ -137,7 +141,6 @@
 // plus the hold.
 func (t *Table) Begin() {
 	t.begun = t.rt.Now()
-	t.heard = t.begun
 	for _, h := range t.hosts {
 		h.Tasks = map[*work.Task]bool{}
 		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray = 0, 0, 0, false, 0
@@ -147,7 +150,6 @@
 	clear(t.ready)
 	token := t.office.Token()
 	t.book.Jobs(func(j *work.Job) {
-		j.Running = 0
 		for _, c := range j.Chunks {
 			for _, k := range c.Tasks {
 				if k.State == work.Placed {
@@ -180,19 +182,6 @@
 	return h
 }
 
-// Learn notes what the cloud says of a machine.
-func (t *Table) Learn(id, addr, build, zone string, spot bool) *Host {
-	if t.gone[id] {
-		return nil
-	}
-	h := t.host(id)
-	if !h.Up {
-		h.Addr, h.Build, h.Zone, h.Spot = addr, build, zone, spot
-		h.Type = t.Type(build)
-	}
-	return h
-}
-
 // Get finds a machine.
 func (t *Table) Get(id string) *Host { return t.hosts[id] }
 
@@ -214,9 +203,6 @@
 	return all
 }
 
-// Heard is when any machine last reported.
-func (t *Table) Heard() time.Duration { return t.heard }
-
 // Open tells whether a machine may be given tasks now.
 func (t *Table) Open(h *Host) bool {
 	now := t.rt.Now()
@@ -247,7 +233,6 @@
 	}
 	if k.Running {
 		k.Running = false
-		k.Job.Running--
 	}
 }
 
@@ -288,8 +273,8 @@
 	return h.LeaseFrom + lease + lease*tuning.DriftPerMille/1000 + tuning.GoneMargin
 }
 
-// Tick looks for machines whose lease has run out, for placements that can no
-// longer be launched, and for notices that come due.
+// Tick looks for machines whose lease has run out and for placements that can
+// no longer be launched.
 func (t *Table) Tick() {
 	if !t.book.IsLoaded() {
 		return
@@ -314,6 +299,14 @@
 	}
 }
 
+// Discard takes a task that was never launched off its machine; its record is
+// gone.
+func (t *Table) Discard(k *work.Task) {
+	if h := t.hosts[k.Host]; h != nil {
+		t.vacate(h, k)
+	}
+}
+
 // clear proves all tasks of a machine gone.
 func (t *Table) clear(h *Host) {
 	for k := range h.Tasks {
@@ -334,6 +327,36 @@
 	delete(t.ready, h)
 }
 
+// Drain stops new tasks on a machine.
+func (t *Table) Drain(id, why string) {
+	if h := t.hosts[id]; h != nil && h.Draining == "" {
+		h.Draining = why
+		t.log.Info("draining machine", "host", id, "why", why)
+	}
+}
+
+// GiveBack tells whether, and why, the owner wants a machine returned now:
+// nothing on it is lost by that, or it is lost already.
+func (t *Table) GiveBack(h *Host, silent, up int) string {
+	now := t.rt.Now()
+	switch {
+	case !h.Up:
+		return ""
+	case h.Notice > 0 && (now > h.Notice-tuning.NoticeReserve || (len(h.Tasks) == 0 && h.Stray == 0)):
+		return "taken by the cloud"
+	case t.Quiet(h) && silent*2 <= up:
+		return "silent"
+	case h.Draining != "" && h.Notice == 0 && len(h.Tasks) == 0 && h.Stray == 0:
+		return h.Draining
+	}
+	return ""
+}
+
+// Quiet tells whether a machine has not reported for suspiciously long.
+func (t *Table) Quiet(h *Host) bool {
+	return h.Up && t.rt.Now()-max(h.Heard, t.begun) > tuning.DeadAfter
+}
+
 // Unreachable answers for a node that may not act for the controllers.
 var Unreachable = httpwire.ErrorBody("not the owner of this machine")
 
@@ -350,14 +373,10 @@
 		// for its answer.
 		return 503, Unreachable
 	}
-	h.Heard, t.heard = now, now
+	h.Heard = now
 	if !h.Up || h.Build != r.Build || h.Addr != r.Addr {
-		first := !h.Up
 		h.Up, h.Addr, h.Build, h.Zone, h.Spot = true, r.Addr, r.Build, r.Zone, r.Spot
 		h.Type = t.Type(r.Build)
-		if first {
-			t.HostUp(h)
-		}
 	}
 	if h.Type == nil {
 		h.Type = t.Type(r.Build)
@@ -464,7 +483,7 @@
 	var k *work.Task
 	if id, index, ok := splitRef(l.Task); ok {
 		if j := t.book.Job(id); j != nil {
-			k = j.Task(index)
+			k = j.Tasks[index]
 		}
 	}
 	forget := Order{Verb: "forget", Task: l.Task, Attempt: l.Attempt}
@@ -493,7 +512,6 @@
 	case "running":
 		if !k.Running {
 			k.Running, k.Since = true, t.rt.Now()
-			k.Job.Running++
 		}
 		return orders
 	case "ended":
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,144 +14,216 @@
 	"lemonmoor/internal/intake"
 	"lemonmoor/internal/lead"
 	"lemonmoor/internal/ledger"
-	"lemonmoor/internal/placement"
 	"lemonmoor/internal/settings"
 	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/work"
 )
 
+// Paths of the messages between controllers.
+const (
+	digestPath = "/digest" // an owner's word to the leader
+	beatPath   = "/beat"   // a worker's report for the owner that it cannot reach
+)
+
 // Node is one controller.
 type Node struct {
-	rt      engine.Runtime
-	set     *settings.Settings
-	log     *slog.Logger
-	led     *ledger.Client
-	office  *ledger.Office
-	cat     *intake.Catalog
-	desk    *intake.Desk
-	book    *lead.Book
-	table   *agents.Table
-	planner *placement.Planner
-	fleet   *fleet.Fleet
-
-	lastRound time.Duration
-	rounding  bool
-	wanted    bool // a placement round is due
+	rt     engine.Runtime
+	set    *settings.Settings
+	log    *slog.Logger
+	led    *ledger.Client
+	office *ledger.Office
+	cat    *intake.Catalog
+	store  *work.Store
+	desk   *intake.Desk
+	leader *lead.Leader
+	fleet  *fleet.Fleet
+	owners [tuning.Blocks]*owner
+	peers  map[string]string // endpoints by node
+
+	lastBeat time.Duration            // from any worker, for any block
+	sent     map[string]time.Duration // workers sent elsewhere, and when
+	telling  [tuning.Blocks]bool
 }
 
 // New puts a node together. nonce differs for every process.
 func New(rt engine.Runtime, set *settings.Settings, nonce uint64, log *slog.Logger) *Node {
-	n := &Node{rt: rt, set: set, log: log}
+	n := &Node{rt: rt, set: set, log: log, peers: map[string]string{}, sent: map[string]time.Duration{}}
 	rank := 0
 	for _, p := range set.Seeds {
+		n.peers[p.Node] = p.Endpoint
 		if p.Node < set.Node {
 			rank++
 		}
 	}
 	n.led = ledger.New(rt, set.External.State, log)
-	n.office = ledger.NewOffice(rt, n.led, log, set.Node, nonce, rank)
-	n.cat = intake.NewCatalog(rt, n.led, log)
-	n.book = lead.New(rt, n.led, n.office, n.cat, set, log)
-	n.table = agents.NewTable(rt, n.office, n.book, set, log)
-	n.planner = placement.New(set.WaitBound())
-	n.fleet = fleet.New(rt, set.External.Cloud, n.office, n.table, set, log)
+	n.office = ledger.NewOffice(rt, n.led, log, set.Node, nonce, rank, tuning.Blocks)
+	n.cat = intake.NewCatalog(rt, n.led, set.Deployment.Teams, log)
+	n.store = work.NewStore(rt, n.led, log)
+	n.fleet = fleet.New(rt, set.External.Cloud, n.office, set, log)
+	n.leader = lead.New(rt, n.led, n.office, n.cat, n.store, n.fleet, set, log)
 	n.desk = intake.NewDesk(rt, n.led, n.cat, set, log)
+	for b := range n.owners {
+		n.owners[b] = newOwner(n, b)
+	}
 
-	n.office.Won = n.won
-	n.office.Lost = n.lost
-	n.cat.Changed = n.book.JobChanged
-	n.book.Waiting = n.arrive
-	n.book.Launchable = n.table.Launchable
-	n.book.Loaded = n.loaded
-	n.book.Cancelled = func(*work.Job) {}
-	n.book.Zones = n.fleet.Zones
-	n.table.Waiting = n.arrive
-	n.table.Type = n.fleet.Type
-	n.table.HostUp = n.fleet.Adopt
-	n.planner.Open = n.table.Open
-	n.planner.Place = n.table.Place
-	n.fleet.Waiting = n.planner.Waiting
-	n.fleet.Lost = func() { n.office.StepDown("no worker reaches this node") }
-	n.desk.Types = n.fleet.Types
-	n.desk.Progress = func(id string) (int, int) {
-		done, running, _ := n.book.Progress(id)
-		return done, running
+	n.office.LeadWon = func(token uint64) {
+		n.leader.Begin(token)
+		n.fleet.Begin()
+	}
+	n.office.LeadLost = func() {
+		n.leader.End()
+		n.fleet.End()
+	}
+	n.office.BlockWon = func(b int, token uint64) { n.owners[b].begin(token) }
+	n.office.BlockLost = func(b int) { n.owners[b].end() }
+	n.cat.Changed = func(e *intake.Entry) {
+		n.leader.JobChanged(e)
+		for _, o := range n.owners {
+			o.shelf.JobChanged(e)
+		}
+	}
+	n.store.Changed = func(old, now *work.Record) {
+		n.leader.RecordChanged(old, now)
+		for _, o := range n.owners {
+			o.shelf.RecordChanged(old, now)
+		}
 	}
+	n.desk.Types = n.fleet.Types
+	n.desk.Progress = func(id string) (int, int) { return lead.Progress(n.store, id) }
 	return n
 }
 
 // Start begins the node's work.
 func (n *Node) Start() {
 	n.cat.Start()
+	n.store.Start()
 	n.office.Start()
 	n.fleet.Start()
 	n.tick()
 }
 
+// tick is what happens once a second.
 func (n *Node) tick() {
-	n.table.Tick()
-	n.wanted = true
-	n.rt.After(time.Second, n.tick)
-}
-
-func (n *Node) arrive(t *work.Task) {
-	n.planner.Arrive(t, n.rt.Now())
-	n.wanted = true
+	n.rt.After(tuning.DigestEvery, n.tick)
+	now := n.rt.Now()
+	up := false
+	for b, o := range n.owners {
+		if o.token == 0 {
+			continue
+		}
+		o.table.Tick()
+		o.wanted = true
+		for _, h := range o.table.All() {
+			up = up || (h.Up && !h.Silent)
+		}
+		n.tell(b)
+	}
+	if up && now-n.lastBeat > tuning.DeafAfter {
+		// Not one report for any block: it is this node that is cut off,
+		// not every machine that has died.
+		n.office.GiveUp()
+		n.lastBeat = now
+	}
+	n.leader.Wake()
+	for host, at := range n.sent {
+		if now-at > tuning.RelayWithin {
+			delete(n.sent, host)
+		}
+	}
 }
 
-func (n *Node) won(uint64) {
-	n.planner.Reset()
-	n.table.End()
-	n.fleet.End()
-	n.book.Begin()
+// tell sends a block's digest to the leader.
+func (n *Node) tell(b int) {
+	o := n.owners[b]
+	if !o.shelf.IsLoaded() || n.telling[b] {
+		return
+	}
+	if n.office.Lead() != 0 {
+		r := n.digest(o.digest())
+		o.obey(&r)
+		return
+	}
+	endpoint := n.peers[n.office.Leader()]
+	if endpoint == "" {
+		return
+	}
+	body, err := json.Marshal(o.digest())
+	if err != nil {
+		n.log.Error("digest does not encode", "err", err)
+		return
+	}
+	token := o.token
+	n.telling[b] = true
+	n.rt.Peer(endpoint, digestPath, body, tuning.PeerTimeout, func(answer []byte, err error) {
+		n.telling[b] = false
+		var r fleet.Reply
+		if err == nil {
+			err = json.Unmarshal(answer, &r)
+		}
+		if err != nil {
+			n.log.Debug("leader not told", "err", err)
+			return
+		}
+		if o.token == token {
+			o.obey(&r)
+		}
+	})
 }
 
-func (n *Node) lost() {
-	n.book.End()
-	n.planner.Reset()
-	n.table.End()
-	n.fleet.End()
+// digest takes an owner's word; only the leader does.
+func (n *Node) digest(d *fleet.Digest) fleet.Reply {
+	if d.Block < 0 || d.Block >= tuning.Blocks || n.office.Owner(d.Block) != d.Node {
+		return fleet.Reply{}
+	}
+	r := n.fleet.Hear(d)
+	r.Recall = n.leader.Recalls(d.Block)
+	n.leader.Wake()
+	return r
 }
 
-// loaded begins the term proper, once the records of the term have been read.
-func (n *Node) loaded() {
-	n.table.Begin()
-	n.fleet.Begin()
+// Peer serves a message of another controller, on the loop.
+func (n *Node) Peer(path string, body []byte, answer func([]byte, bool)) {
+	switch path {
+	case digestPath:
+		var d fleet.Digest
+		if err := json.Unmarshal(body, &d); err != nil || n.office.Lead() == 0 {
+			answer(nil, false)
+			return
+		}
+		reply, err := json.Marshal(n.digest(&d))
+		answer(reply, err == nil)
+	case beatPath:
+		r, err := agents.ParseReport(body)
+		if err != nil {
+			answer(nil, false)
+			return
+		}
+		o := n.owners[work.BlockOf(r.Host)]
+		if !n.answering(o) {
+			answer(nil, false)
+			return
+		}
+		status, reply := o.table.Report(r)
+		o.wanted = true
+		answer(reply, status == 200)
+	default:
+		answer(nil, false)
+	}
 }
 
 // Settle takes the decisions that a batch of commands has made necessary.
 func (n *Node) Settle() {
-	if n.office.Token() == 0 || !n.book.IsLoaded() {
-		return
-	}
-	n.book.HandOut()
-	if n.wanted && n.office.Valid() {
-		n.round()
-	}
-	n.book.Settle()
-	n.table.Settle()
-}
-
-// round places tasks, at most once in a while.
-func (n *Node) round() {
-	if n.rounding {
-		return
-	}
-	now := n.rt.Now()
-	if wait := n.lastRound + tuning.RoundPause - now; wait > 0 && n.lastRound > 0 {
-		n.rounding = true
-		n.rt.After(wait, func() { n.rounding = false })
-		return
+	n.leader.Settle()
+	for _, o := range n.owners {
+		o.settle()
 	}
-	n.wanted = false
-	n.lastRound = now
-	n.planner.Round(n.table.All(), now)
 }
 
-// answering tells whether this node may answer reports: while its lease is
-// valid, and for a bounded hold after, which every takeover waits out.
-func (n *Node) answering() bool {
-	return n.office.Token() != 0 && n.rt.Now() < n.office.ValidUntil()+n.set.Hold()
+// answering tells whether this node may answer reports of a block: while its
+// lease is valid, and for a bounded hold after, which every takeover waits
+// out.
+func (n *Node) answering(o *owner) bool {
+	return o.token != 0 && n.rt.Now() < n.office.ValidUntil()+n.set.Hold()
 }
 
 // beat serves POST /agent/beat.
@@ -161,20 +233,42 @@
 		reply(400, httpwire.ErrorBody(err.Error()), 0)
 		return
 	}
-	if !n.answering() {
-		n.redirect(reply)
+	now := n.rt.Now()
+	n.lastBeat = now
+	b := work.BlockOf(r.Host)
+	o := n.owners[b]
+	if n.answering(o) {
+		status, answer := o.table.Report(r)
+		o.wanted = true
+		reply(status, answer, 0)
 		return
 	}
-	status, answer := n.table.Report(r)
-	n.wanted = true
-	reply(status, answer, 0)
+	leader := n.office.Owner(b)
+	at, back := n.sent[r.Host]
+	endpoint := n.peers[leader]
+	if !back || now-at > tuning.RelayWithin || endpoint == "" {
+		n.sent[r.Host] = now
+		n.redirect(leader, reply)
+		return
+	}
+	// It could not reach its owner, or it would not be back: the report is
+	// passed on. An answer counts whichever node gives it.
+	n.rt.Peer(endpoint, beatPath, body, tuning.PeerTimeout, func(answer []byte, err error) {
+		if err != nil {
+			n.sent[r.Host] = n.rt.Now()
+			n.redirect(n.office.Owner(b), reply)
+			return
+		}
+		n.sent[r.Host] = n.rt.Now()
+		reply(200, answer, 0)
+	})
 }
 
 // redirect sends a worker to the owner of its machine.
-func (n *Node) redirect(reply httpwire.Reply) {
+func (n *Node) redirect(to string, reply httpwire.Reply) {
 	answer := map[string]string{}
-	if l := n.office.Leader(); l != "" && l != n.set.Node {
-		answer["upstream"] = l
+	if to != "" && to != n.set.Node {
+		answer["upstream"] = to
 	}
 	body, err := json.Marshal(answer)
 	if err != nil {
--- /dev/null
+++ b/internal/controller/owner.go
@@ -0,0 +1,129 @@
+package controller
+
+import (
+	"time"
+
+	"lemonmoor/internal/agents"
+	"lemonmoor/internal/block"
+	"lemonmoor/internal/fleet"
+	"lemonmoor/internal/placement"
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// owner is what a node keeps for a block that it owns.
+type owner struct {
+	node    *Node
+	block   int
+	token   uint64
+	shelf   *block.Shelf
+	table   *agents.Table
+	planner *placement.Planner
+
+	lastRound time.Duration
+	rounding  bool
+	wanted    bool // a placement round is due
+}
+
+// Token, Valid and Renew are the block's lease, as the table sees it.
+func (o *owner) Token() uint64 { return o.token }
+
+// Valid tells whether the lease surely holds now.
+func (o *owner) Valid() bool { return o.token != 0 && o.node.office.Valid() }
+
+// Renew asks for a new token.
+func (o *owner) Renew() { o.node.office.Renew(o.block) }
+
+func newOwner(n *Node, number int) *owner {
+	o := &owner{node: n, block: number}
+	o.shelf = block.NewShelf(n.rt, n.led, n.office, n.cat, n.store, n.set, n.log, number)
+	o.table = agents.NewTable(n.rt, o, o.shelf, n.set, n.log)
+	o.planner = placement.New(n.set.WaitBound())
+	o.shelf.Waiting = o.arrive
+	o.shelf.Launchable = o.table.Launchable
+	o.shelf.Discard = o.table.Discard
+	o.shelf.Loaded = o.table.Begin
+	o.table.Waiting = o.arrive
+	o.table.Type = n.fleet.Type
+	o.planner.Open = o.table.Open
+	o.planner.Place = o.table.Place
+	return o
+}
+
+func (o *owner) arrive(t *work.Task) {
+	o.planner.Arrive(t, o.node.rt.Now())
+	o.wanted = true
+}
+
+// begin starts to act under a new token.
+func (o *owner) begin(token uint64) {
+	o.token = token
+	o.planner.Reset()
+	o.table.End()
+	o.shelf.Begin(token)
+}
+
+func (o *owner) end() {
+	o.token = 0
+	o.shelf.End()
+	o.planner.Reset()
+	o.table.End()
+}
+
+// settle takes the decisions that a batch of commands has made necessary.
+func (o *owner) settle() {
+	if o.token == 0 || !o.shelf.IsLoaded() {
+		return
+	}
+	if o.wanted && o.Valid() && !o.rounding {
+		now := o.node.rt.Now()
+		if wait := o.lastRound + tuning.RoundPause - now; wait > 0 && o.lastRound > 0 {
+			o.rounding = true
+			o.node.rt.After(wait, func() { o.rounding = false })
+		} else {
+			o.wanted, o.lastRound = false, now
+			o.planner.Round(o.table.All(), now)
+		}
+	}
+	o.shelf.Flush()
+	o.table.Settle()
+}
+
+// digest is the owner's word to the leader.
+func (o *owner) digest() *fleet.Digest {
+	now := o.node.rt.Now()
+	hosts := o.table.All()
+	d := &fleet.Digest{Node: o.node.set.Node, Block: o.block, Token: o.token}
+	up, quiet := 0, 0
+	for _, h := range hosts {
+		if h.Up {
+			up++
+		}
+		if o.table.Quiet(h) {
+			quiet++
+		}
+	}
+	for _, h := range hosts {
+		s := fleet.HostState{ID: h.ID, Addr: h.Addr, Build: h.Build, Zone: h.Zone, Spot: h.Spot, Up: h.Up,
+			Open: o.table.Open(h), Tasks: len(h.Tasks) + h.Stray, Back: o.table.GiveBack(h, quiet, up), Images: h.Images()}
+		if len(h.Tasks) == 0 {
+			s.IdleMS = (now - h.Idle).Milliseconds()
+		}
+		d.Hosts = append(d.Hosts, s)
+	}
+	return d
+}
+
+// obey carries out the leader's answer to a digest.
+func (o *owner) obey(r *fleet.Reply) {
+	for _, id := range r.Returned {
+		o.table.Returned(id)
+	}
+	for _, id := range r.Drain {
+		o.table.Drain(id, "idle")
+	}
+	for _, c := range r.Recall {
+		o.shelf.Recall(c.Job, c.Number)
+	}
+	o.wanted = true
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -42,6 +42,8 @@
 	// Call sends a request and hands the answer, ErrNotSent or ErrNoAnswer
 	// to fn.
 	Call(addr string, req httpwire.Call, timeout time.Duration, fn func(httpwire.Answer, error))
+	// Peer sends a message to another controller; err is as with Call.
+	Peer(endpoint, path string, body []byte, timeout time.Duration, fn func(body []byte, err error))
 	// Rand returns a random number in [0,1).
 	Rand() float64
 }
--- a/internal/engine/real.go
+++ b/internal/engine/real.go
@@ -11,12 +11,18 @@
 type Real struct {
 	loop   *Loop
 	client *httpwire.Client
+	peers  PeerSender
 	start  time.Time
 }
 
+// PeerSender sends a message to another controller and waits for its answer.
+type PeerSender interface {
+	Send(endpoint, path string, body []byte, timeout time.Duration) ([]byte, error)
+}
+
 // NewReal returns a runtime that posts to loop.
-func NewReal(loop *Loop) *Real {
-	r := &Real{loop: loop, client: httpwire.NewClient(), start: time.Now()}
+func NewReal(loop *Loop, peers PeerSender) *Real {
+	r := &Real{loop: loop, client: httpwire.NewClient(), peers: peers, start: time.Now()}
 	r.sweep()
 	return r
 }
@@ -63,3 +69,11 @@
 		r.loop.Post(Reports, func() { fn(a, err) })
 	}()
 }
+
+// Peer sends a message to another controller from a goroutine of its own.
+func (r *Real) Peer(endpoint, path string, body []byte, timeout time.Duration, fn func([]byte, error)) {
+	go func() {
+		answer, err := r.peers.Send(endpoint, path, body, timeout)
+		r.loop.Post(Reports, func() { fn(answer, err) })
+	}()
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,13 +9,12 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
-	"lemonmoor/internal/agents"
 	"lemonmoor/internal/engine"
 	"lemonmoor/internal/httpwire"
 	"lemonmoor/internal/jobs"
-	"lemonmoor/internal/placement"
 	"lemonmoor/internal/settings"
 	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/work"
@@ -23,8 +22,9 @@
 
 // Office is what the fleet asks of the lease.
 type Office interface {
-	Token() uint64
+	Lead() uint64
 	Valid() bool
+	Owner(block int) string
 }
 
 // kind is a kind of machine that can be rented.
@@ -40,10 +40,15 @@
 	kind    kind
 	rented  time.Duration
 	listed  bool
+	missed  int // lists in a row without it, after it was listed
 	failed  bool
 	release bool // to be returned
 	asked   bool // the request is under way
 	why     string
+	drain   string // why its owner is asked to keep tasks off it
+	state   HostState
+	heard   time.Duration // of that state
+	known   bool          // there is one
 }
 
 // hire is a rental request; its name is used for this request alone.
@@ -55,23 +60,97 @@
 	Number int    `json:"number"`
 }
 
+// HostState is what a block's owner tells of a machine.
+type HostState struct {
+	ID     string   `json:"id"`
+	Addr   string   `json:"addr"`
+	Build  string   `json:"build"`
+	Zone   string   `json:"zone"`
+	Spot   bool     `json:"spot"`
+	Up     bool     `json:"up"`   // its worker has reported
+	Open   bool     `json:"open"` // takes tasks
+	IdleMS int64    `json:"idleMs"`
+	Tasks  int      `json:"tasks"`
+	Back   string   `json:"back,omitempty"` // why it should be returned now
+	Images []string `json:"images,omitempty"`
+}
+
+// Digest is an owner's word on its block.
+type Digest struct {
+	Node  string      `json:"node"`
+	Block int         `json:"block"`
+	Token uint64      `json:"token"`
+	Hosts []HostState `json:"hosts"`
+}
+
+// Recall asks an owner to give waiting tasks of a job back.
+type Recall struct {
+	Job    string `json:"job"`
+	Number int    `json:"number"`
+}
+
+// Reply is the leader's answer to a digest.
+type Reply struct {
+	Drain    []string `json:"drain,omitempty"`
+	Returned []string `json:"returned,omitempty"` // gone, with all on them
+	Recall   []Recall `json:"recall,omitempty"`
+}
+
+// Room is what a machine has left for tasks.
+type Room struct {
+	Host                string
+	Block               int
+	Type                *jobs.MachineType
+	Zone                string
+	Spot                bool
+	Booting             bool
+	Images              []string
+	CPUs, Cards, Memory float64
+}
+
+const slack = 1e-9 // sums of decimal amounts are not exact
+
+// Could tells whether the machine may run a task of the job at all.
+func (r *Room) Could(d *jobs.Description, zone string) bool {
+	return r.Type.Runs(d) && (d.Zone == "" || d.Zone == r.Zone) && (zone == "" || zone == r.Zone) && (d.Spot || !r.Spot)
+}
+
+// Fits tells whether there is room for one now.
+func (r *Room) Fits(d *jobs.Description, zone string) bool {
+	return d.CPUs <= r.CPUs+slack && d.Cards <= r.Cards+slack && d.MemoryGB <= r.Memory+slack && r.Could(d, zone)
+}
+
+// Take uses room for one task.
+func (r *Room) Take(d *jobs.Description) {
+	r.CPUs -= d.CPUs
+	r.Cards -= d.Cards
+	r.Memory -= d.MemoryGB
+}
+
+// Caches tells whether the machine has an image.
+func (r *Room) Caches(image string) bool { return slices.Contains(r.Images, image) }
+
+// Need is tasks of a job for which there is no room.
+type Need struct {
+	Desc   *jobs.Description
+	Zones  []string
+	Number int
+	Since  int64 // ms since the epoch
+}
+
 // Fleet is the leader's view of the cloud.
 type Fleet struct {
-	// Waiting returns the tasks that no machine has room for, in order.
-	Waiting func() []*work.Task
-	// Lost is called when the machines do not reach this node.
-	Lost func()
-
 	rt     engine.Runtime
 	addr   string
 	office Office
-	table  *agents.Table
 	set    *settings.Settings
 	log    *slog.Logger
 
 	types    []jobs.MachineType
 	machines map[string]*machine
+	returned map[string]time.Duration // when
 	pauses   map[kind]time.Duration
+	needs    []Need
 	counter  uint64
 	term     int
 	begun    time.Duration
@@ -82,9 +161,9 @@
 }
 
 // New returns a fleet that speaks to the cloud at addr.
-func New(rt engine.Runtime, addr string, office Office, table *agents.Table, set *settings.Settings, log *slog.Logger) *Fleet {
-	return &Fleet{rt: rt, addr: addr, office: office, table: table, set: set, log: log,
-		machines: map[string]*machine{}, pauses: map[kind]time.Duration{}}
+func New(rt engine.Runtime, addr string, office Office, set *settings.Settings, log *slog.Logger) *Fleet {
+	return &Fleet{rt: rt, addr: addr, office: office, set: set, log: log,
+		machines: map[string]*machine{}, returned: map[string]time.Duration{}, pauses: map[kind]time.Duration{}}
 }
 
 // Start reads the machine types and keeps their prices current.
@@ -132,22 +211,22 @@
 }
 
 // Zones fixes zones for a job whose tasks must or must not share one.
-func (f *Fleet) Zones(j *work.Job) []string {
+func (f *Fleet) Zones(d *jobs.Description) []string {
 	room := map[string]float64{}
 	for i := range f.types {
 		t := &f.types[i]
-		if !t.Runs(j.Desc) {
+		if !t.Runs(d) {
 			continue
 		}
 		for _, z := range t.Zones {
-			if j.Desc.Zone == "" || j.Desc.Zone == z {
+			if d.Zone == "" || d.Zone == z {
 				room[z] += 0.001 // any zone counts a little, one with machines more
 			}
 		}
 	}
-	for _, h := range f.table.All() {
-		if _, ok := room[h.Zone]; ok && h.Type != nil && h.Type.Runs(j.Desc) && (j.Desc.Spot || !h.Spot) {
-			room[h.Zone] += h.Type.CPUs
+	for _, r := range f.Rooms() {
+		if r.Could(d, "") {
+			room[r.Zone] += r.Type.CPUs
 		}
 	}
 	zones := make([]string, 0, len(room))
@@ -165,7 +244,7 @@
 		}
 		return 1
 	})
-	if j.Desc.OneZone {
+	if d.OneZone {
 		return zones[:min(1, len(zones))]
 	}
 	return zones[:min(2, len(zones))]
@@ -178,11 +257,7 @@
 	f.listed, f.hiring, f.counter = false, 0, 0
 	clear(f.machines)
 	clear(f.pauses)
-	for _, h := range f.table.All() {
-		if h.Up {
-			f.Adopt(h)
-		}
-	}
+	f.needs = nil
 	term := f.term
 	f.list(term)
 	f.round(term)
@@ -254,9 +329,8 @@
 			}
 			for _, l := range reply.Hosts {
 				seen[l.ID] = true
-				h := f.table.Learn(l.ID, l.Addr, l.Build, l.Zone, l.Spot)
-				if h == nil {
-					continue // returned; the list lags
+				if _, gone := f.returned[l.ID]; gone {
+					continue // the list lags
 				}
 				m := f.machines[l.ID]
 				if m == nil {
@@ -264,7 +338,7 @@
 						rented: asked - time.Duration(l.AgeS*float64(time.Second))}
 					f.machines[l.ID] = m
 				}
-				m.addr, m.listed = l.Addr, true
+				m.addr, m.listed, m.missed = l.Addr, true, 0
 				if l.Phase == "failed" && !m.failed {
 					m.failed = true
 					f.giveBack(m, "failed")
@@ -274,7 +348,7 @@
 				page(reply.Hosts[len(reply.Hosts)-1].ID)
 				return
 			}
-			f.vanished(seen, asked)
+			f.vanished(seen)
 			f.listed = true
 			again(tuning.ListEvery)
 		})
@@ -285,33 +359,83 @@
 // vanished forgets machines that the list no longer has: returned by us, or
 // taken by the cloud. They are returned once more, which is the proof that
 // all on them is gone; a list alone can be old.
-func (f *Fleet) vanished(seen map[string]bool, asked time.Duration) {
+func (f *Fleet) vanished(seen map[string]bool) {
 	for id, m := range f.machines {
 		if seen[id] || !m.listed {
 			continue
 		}
-		h := f.table.Get(id)
-		if h == nil || asked-h.Heard > tuning.DeadAfter/2 {
+		if m.missed++; m.missed < 3 {
+			continue // a list can be older than the one before
+		}
+		if !f.fresh(m) || !m.state.Open {
 			f.giveBack(m, "no longer listed")
 		}
 	}
 }
 
-// Adopt notes a machine that reports without having been rented in this term.
-func (f *Fleet) Adopt(h *agents.Host) {
-	if f.machines[h.ID] == nil {
-		f.machines[h.ID] = &machine{id: h.ID, addr: h.Addr, kind: kind{h.Build, h.Zone, h.Spot}, rented: f.rt.Now()}
+// fresh tells whether the owner's word on a machine is new enough.
+func (f *Fleet) fresh(m *machine) bool {
+	return m.known && f.rt.Now()-m.heard < tuning.DigestStale
+}
+
+// Hear takes an owner's digest. Machines in it that were not rented in this
+// term are adopted.
+func (f *Fleet) Hear(d *Digest) Reply {
+	var r Reply
+	now := f.rt.Now()
+	for _, s := range d.Hosts {
+		if _, gone := f.returned[s.ID]; gone {
+			r.Returned = append(r.Returned, s.ID)
+			continue
+		}
+		m := f.machines[s.ID]
+		if m == nil {
+			if !s.Up {
+				continue // known from a record only
+			}
+			m = &machine{id: s.ID, rented: now}
+			f.machines[s.ID] = m
+		}
+		if s.Up {
+			m.addr, m.kind = s.Addr, kind{s.Build, s.Zone, s.Spot}
+		}
+		m.state, m.heard, m.known = s, now, s.Up
+		if s.Back != "" {
+			f.giveBack(m, s.Back)
+		}
+		if m.drain != "" {
+			r.Drain = append(r.Drain, s.ID)
+		}
+	}
+	return r
+}
+
+// Rooms returns the machines that take tasks or are about to, empty.
+func (f *Fleet) Rooms() []*Room {
+	var rooms []*Room
+	for _, m := range f.machines {
+		t := f.Type(m.kind.build)
+		if t == nil || m.release || m.failed || m.drain != "" {
+			continue
+		}
+		if m.known && (!f.fresh(m) || !m.state.Open) {
+			continue
+		}
+		rooms = append(rooms, &Room{Host: m.id, Block: work.BlockOf(m.id), Type: t, Zone: m.kind.zone, Spot: m.kind.spot,
+			Booting: !m.known, Images: m.state.Images, CPUs: t.CPUs, Cards: t.Cards, Memory: t.MemoryGB})
 	}
+	slices.SortFunc(rooms, func(a, b *Room) int { return strings.Compare(a.Host, b.Host) })
+	return rooms
 }
 
+// Want tells for which tasks there is no room.
+func (f *Fleet) Want(needs []Need) { f.needs = needs }
+
 func (f *Fleet) giveBack(m *machine, why string) {
 	if m.release {
 		return
 	}
 	m.release, m.why = true, why
-	if h := f.table.Get(m.id); h != nil && h.Draining == "" {
-		h.Draining = why
-	}
 	f.log.Info("returning machine", "host", m.id, "why", why)
 }
 
@@ -331,48 +455,34 @@
 	}
 }
 
-// judge decides which machines go back.
+// judge decides which machines go back beside those that their owners give
+// back.
 func (f *Fleet) judge() {
 	now := f.rt.Now()
-	up, silent := 0, 0
-	for _, h := range f.table.All() {
-		if h.Up {
-			up++
-			if now-max(h.Heard, f.begun) > tuning.DeadAfter {
-				silent++
-			}
-		}
-	}
-	if up > 0 && now-max(f.table.Heard(), f.begun) > tuning.DeafAfter {
-		// Not one report: it is this node that is cut off, not every
-		// machine that has died.
-		f.Lost()
-		return
-	}
 	for _, m := range f.machines {
-		h := f.table.Get(m.id)
-		switch {
-		case m.release:
-		case h == nil || !h.Up:
-			t := f.Type(m.kind.build)
+		if m.release {
+			continue
+		}
+		if !m.known {
 			boot := 60.0
-			if t != nil {
+			if t := f.Type(m.kind.build); t != nil {
 				boot = t.BootS
 			}
 			limit := time.Duration(boot*tuning.BootFactor*float64(time.Second)) + tuning.BootSlack
-			if now-max(m.rented, f.begun-limit) > limit && now-f.begun > tuning.BootSlack {
+			if now-m.rented > limit && now-f.begun > tuning.BootSlack {
 				f.giveBack(m, "never booted")
 			}
-		case h.Notice > 0 && now > h.Notice-tuning.NoticeReserve:
-			f.giveBack(m, "taken by the cloud")
-		case now-max(h.Heard, f.begun) > tuning.DeadAfter && silent*2 <= up:
-			f.giveBack(m, "silent")
-		case h.Draining != "" && len(h.Tasks) == 0 && h.Notice == 0:
-			f.giveBack(m, h.Draining)
-		case h.Notice > 0 && len(h.Tasks) == 0 && h.Stray == 0:
-			f.giveBack(m, "taken by the cloud")
-		case len(h.Tasks) == 0 && h.Stray == 0 && now-h.Idle > f.set.IdleKeep() && now-f.begun > f.set.IdleKeep()/2:
-			f.giveBack(m, "idle")
+			continue
+		}
+		keep := f.set.IdleKeep()
+		if m.drain == "" && f.fresh(m) && m.state.Open && m.state.Tasks == 0 &&
+			m.state.IdleMS > keep.Milliseconds() && now-f.begun > keep/2 {
+			m.drain = "idle" // its owner agrees, then gives it back
+		}
+	}
+	for id, at := range f.returned {
+		if now-at > tuning.ForgetReturned {
+			delete(f.returned, id)
 		}
 	}
 }
@@ -384,9 +494,6 @@
 		if !m.release || m.asked {
 			continue
 		}
-		if h := f.table.Get(m.id); h != nil && (m.why == "idle") && len(h.Tasks) > 0 {
-			continue
-		}
 		names = append(names, m.id)
 		if len(names) == 100 {
 			break
@@ -408,7 +515,7 @@
 			if ok {
 				// Whoever leads now: the machines are gone.
 				for _, id := range names {
-					f.table.Returned(id)
+					f.returned[id] = f.rt.Now()
 				}
 			}
 			if term != f.term {
@@ -424,90 +531,46 @@
 		})
 }
 
-// room is what a machine has left for the tasks that wait.
-type room struct {
-	kind                kind
-	cpus, cards, memory float64
-}
-
-func (r *room) take(t *work.Task) bool {
-	d := t.Job.Desc
-	if d.CPUs > r.cpus+1e-9 || d.Cards > r.cards+1e-9 || d.MemoryGB > r.memory+1e-9 || !allowed(t, r.kind) {
-		return false
-	}
-	r.cpus -= d.CPUs
-	r.cards -= d.Cards
-	r.memory -= d.MemoryGB
-	return true
-}
-
-func allowed(t *work.Task, k kind) bool {
-	return placement.Allowed(t, &agents.Host{Build: k.build, Zone: k.zone, Spot: k.spot})
-}
-
-// rent asks for machines for the tasks that neither fit on the machines there
-// are nor on those that boot.
+// rent asks for machines for the tasks that have no room.
 func (f *Fleet) rent(term int) {
-	if f.hiring > 0 || f.types == nil {
+	if f.hiring > 0 || f.types == nil || len(f.needs) == 0 || f.rt.Now()-f.begun < tuning.DigestEvery*2 {
 		return
 	}
-	now := f.rt.Now()
-	var rooms []*room
-	for _, m := range f.machines {
-		if m.release {
-			continue
-		}
-		h, t := f.table.Get(m.id), f.Type(m.kind.build)
-		switch {
-		case t == nil:
-		case h == nil || !h.Up:
-			rooms = append(rooms, &room{m.kind, t.CPUs, t.Cards, t.MemoryGB})
-		case f.table.Open(h):
-			c, g, mem := h.Free()
-			rooms = append(rooms, &room{m.kind, c, g, mem})
-		}
-	}
-	var unmet []*work.Task
-	for _, t := range f.Waiting() {
-		if now < t.Job.NotBefore {
-			continue
-		}
-		if !slices.ContainsFunc(rooms, func(r *room) bool { return r.take(t) }) {
-			unmet = append(unmet, t)
-		}
-	}
-	for try := 0; try < 2 && len(unmet) > 0; try++ {
-		k, n, rest := f.choose(unmet, now)
+	needs := slices.Clone(f.needs)
+	f.needs = nil // until the next hand-out has seen what comes
+	for try := 0; try < 2 && len(needs) > 0; try++ {
+		k, n, rest := f.choose(needs)
 		if n == 0 {
-			unmet = slices.DeleteFunc(unmet, func(t *work.Task) bool { return t.Job == unmet[0].Job })
+			needs = needs[1:]
 			continue
 		}
 		if !f.afford() {
 			return
 		}
 		f.counter++
-		f.hire(term, hire{fmt.Sprintf("r-%d-%d", f.office.Token(), f.counter), k.build, k.zone, k.spot, n}, 0)
-		unmet = rest
+		f.hire(term, hire{fmt.Sprintf("r-%d-%d", f.office.Lead(), f.counter), k.build, k.zone, k.spot, n}, 0)
+		needs = rest
 	}
 }
 
 // choose finds the kind of machine that does the waiting work, beginning with
-// the first task, at the least price, and how many of it are wanted.
-func (f *Fleet) choose(unmet []*work.Task, now time.Duration) (best kind, number int, rest []*work.Task) {
+// the first, at the least price, and how many of it are wanted.
+func (f *Fleet) choose(needs []Need) (best kind, number int, rest []Need) {
+	now := f.rt.Now()
 	bestCost := 0.0
 	for i := range f.types {
 		t := &f.types[i]
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				k := kind{t.Label, zone, spot}
-				if now < f.pauses[k] || !t.Runs(unmet[0].Job.Desc) || !allowed(unmet[0], k) {
+				if now < f.pauses[k] || !f.empty(k).Fits(needs[0].Desc, work.ZoneOf(needs[0].Zones, 0)) {
 					continue
 				}
 				price := t.Price
 				if spot {
 					price = t.SpotPrice
 				}
-				used, _ := fill(k, t, unmet)
+				used, _ := f.fill(k, needs)
 				if cost := price / max(used, 1e-3); number == 0 || cost < bestCost {
 					best, bestCost, number = k, cost, 1
 				}
@@ -515,12 +578,11 @@
 		}
 	}
 	if number == 0 {
-		return best, 0, unmet
+		return best, 0, needs
 	}
-	t := f.Type(best.build)
-	least, rest := fill(best, t, unmet)
+	least, rest := f.fill(best, needs)
 	for number < tuning.HireMax && len(rest) > 0 {
-		used, left := fill(best, t, rest)
+		used, left := f.fill(best, rest)
 		if used < least/2 || used == 0 {
 			break
 		}
@@ -529,15 +591,24 @@
 	return best, number, rest
 }
 
+// empty is a machine of a kind with nothing on it.
+func (f *Fleet) empty(k kind) *Room {
+	t := f.Type(k.build)
+	return &Room{Type: t, Zone: k.zone, Spot: k.spot, CPUs: t.CPUs, Cards: t.Cards, Memory: t.MemoryGB}
+}
+
 // fill tells how many processors of an empty machine the tasks would use, and
 // which tasks are left over.
-func fill(k kind, t *jobs.MachineType, tasks []*work.Task) (used float64, rest []*work.Task) {
-	r := room{k, t.CPUs, t.Cards, t.MemoryGB}
-	for _, task := range tasks {
-		if r.take(task) {
-			used += max(task.Job.Desc.CPUs, task.Job.Desc.MemoryGB/t.MemoryGB*t.CPUs)
-		} else {
-			rest = append(rest, task)
+func (f *Fleet) fill(k kind, needs []Need) (used float64, rest []Need) {
+	r := f.empty(k)
+	for _, n := range needs {
+		for n.Number > 0 && r.Fits(n.Desc, work.ZoneOf(n.Zones, 0)) {
+			r.Take(n.Desc)
+			used += max(n.Desc.CPUs, n.Desc.MemoryGB/r.Type.MemoryGB*r.Type.CPUs)
+			n.Number--
+		}
+		if n.Number > 0 {
+			rest = append(rest, n)
 		}
 	}
 	return used, rest
--- a/internal/intake/catalog.go
+++ b/internal/intake/catalog.go
@@ -11,6 +11,7 @@
 	"lemonmoor/internal/engine"
 	"lemonmoor/internal/jobs"
 	"lemonmoor/internal/ledger"
+	"lemonmoor/internal/settings"
 )
 
 // Prefix of all job records.
@@ -35,6 +36,7 @@
 	ID    string
 	Stamp uint64
 	Record
+	within int8 // 0: not looked at yet, 1: yes, -1: no
 }
 
 // Catalog holds all jobs.
@@ -43,13 +45,19 @@
 	Changed func(*Entry)
 
 	entries map[string]*Entry
+	open    map[string]*Entry // without a final phase
+	teams   map[string]settings.Team
 	mirror  *ledger.Mirror
 	log     *slog.Logger
 }
 
 // NewCatalog returns an empty catalog.
-func NewCatalog(rt engine.Runtime, led *ledger.Client, log *slog.Logger) *Catalog {
-	c := &Catalog{entries: map[string]*Entry{}, log: log, Changed: func(*Entry) {}}
+func NewCatalog(rt engine.Runtime, led *ledger.Client, teams []settings.Team, log *slog.Logger) *Catalog {
+	c := &Catalog{entries: map[string]*Entry{}, open: map[string]*Entry{}, teams: map[string]settings.Team{},
+		log: log, Changed: func(*Entry) {}}
+	for _, t := range teams {
+		c.teams[t.Name] = t
+	}
 	c.mirror = ledger.NewMirror(rt, led, Prefix)
 	c.mirror.Apply = c.apply
 	return c
@@ -67,13 +75,34 @@
 // Get finds a job.
 func (c *Catalog) Get(id string) *Entry { return c.entries[id] }
 
-// All calls fn for every job.
-func (c *Catalog) All(fn func(*Entry)) {
-	for _, e := range c.entries {
+// Open calls fn for every job without a final phase.
+func (c *Catalog) Open(fn func(*Entry)) {
+	for _, e := range c.open {
 		fn(e)
 	}
 }
 
+// Within tells whether a job fits into its team's guarantee together with the
+// team's earlier unfinished jobs. It is looked at once, when the job is new.
+func (c *Catalog) Within(e *Entry) bool {
+	if e.within == 0 && e.Job != nil {
+		team := c.teams[e.Job.Team]
+		var cpus, cards float64
+		for _, o := range c.open {
+			if o.Job == nil || o.Job.Team != e.Job.Team || (o != e && (o.At > e.At || (o.At == e.At && o.ID > e.ID))) {
+				continue
+			}
+			cpus += o.Job.CPUs * float64(o.Job.Tasks)
+			cards += o.Job.Cards * float64(o.Job.Tasks)
+		}
+		e.within = -1
+		if cpus <= team.CPUs+1e-9 && cards <= team.GPUs+1e-9 {
+			e.within = 1
+		}
+	}
+	return e.within > 0
+}
+
 func (c *Catalog) apply(key string, value json.RawMessage, stamp uint64) {
 	id := strings.TrimPrefix(key, Prefix)
 	if value == nil {
@@ -104,6 +133,11 @@
 		c.entries[id] = e
 	}
 	e.Stamp, e.Record = stamp, r
+	if r.Phase == "" {
+		c.open[id] = e
+	} else {
+		delete(c.open, id)
+	}
 	c.Changed(e)
 }
 
--- a/internal/ledger/mirror.go
+++ b/internal/ledger/mirror.go
@@ -18,7 +18,8 @@
 type Mirror struct {
 	Apply func(key string, value json.RawMessage, stamp uint64)
 	Reset func()
-	Ready func() // after every full reading
+	// Taken is called after every full reading and every change.
+	Taken func()
 
 	rt     engine.Runtime
 	led    *Client
@@ -67,8 +68,8 @@
 			m.Apply(r.Key, r.Value, r.Stamp)
 		}
 		m.epoch, m.ready = epoch, true
-		if m.Ready != nil {
-			m.Ready()
+		if m.Taken != nil {
+			m.Taken()
 		}
 		m.follow(life, 0)
 	})
@@ -112,6 +113,9 @@
 		}
 	}
 	m.epoch = epoch
+	if len(events) > 0 && m.Taken != nil {
+		m.Taken()
+	}
 }
 
 // Check calls fn once the mirror is proven to hold everything that was
--- a/internal/ledger/office.go
+++ b/internal/ledger/office.go
@@ -3,251 +3,372 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"sort"
+	"strconv"
+	"strings"
 	"time"
 
 	"lemonmoor/internal/engine"
 	"lemonmoor/internal/tuning"
 )
 
-// Keys of the leases. One prefix, so that one watch sees them all.
+// Keys of the leases. They share one prefix, so that one watch sees them all.
 const (
 	leasePrefix = "lease/"
+	nodePrefix  = leasePrefix + "node/"
+	blockPrefix = leasePrefix + "block/"
 	// LeadKey is the lease of the leader.
 	LeadKey = leasePrefix + "lead"
-	// BlockKey is the lease of the block of machines.
-	BlockKey = leasePrefix + "block/" + tuning.Block
 )
 
-// holder is the value of a lease key.
+// BlockKey is the lease of a block of machines.
+func BlockKey(block int) string { return blockPrefix + strconv.Itoa(block) }
+
+// holder is the value of a lease key. A restarted node is another holder: its
+// nonce differs.
 type holder struct {
 	Node  string `json:"node"`
-	Nonce uint64 `json:"nonce"` // of the process: a restarted node is another holder
+	Nonce uint64 `json:"nonce"`
+	// Of a node's own entry: the grant that leases given to it hang on, and
+	// whether it wants none now.
+	Permit uint64 `json:"permit,omitempty"`
+	Unfit  bool   `json:"unfit,omitempty"`
 }
 
-// Office runs for the leases and holds them. The block's key is set only at
-// takeover and when a new token is wanted, so its stamp is the token; renewal
-// touches the grant alone.
+func (h holder) is(node string, nonce uint64) bool { return h.Node == node && h.Nonce == nonce }
+
+// Office runs for the lead and holds leases. A lease key is set when it is
+// given or when a new token is wanted, never to renew it, so its stamp is the
+// token; renewal touches the node's one grant. What this process holds it
+// learns from the watch alone, so that it sees all changes in their order.
 type Office struct {
-	// Won is called when this process holds the office with a new token.
-	Won func(token uint64)
-	// Lost is called when it holds it no more.
-	Lost func()
+	// LeadWon and LeadLost tell of the lead.
+	LeadWon  func(token uint64)
+	LeadLost func()
+	// BlockWon and BlockLost tell of blocks; BlockWon also tells of a new
+	// token of a block already held.
+	BlockWon  func(block int, token uint64)
+	BlockLost func(block int)
 
-	rt    engine.Runtime
-	led   *Client
-	log   *slog.Logger
-	node  string
-	nonce uint64
-	rank  int // spreads the nodes' tries
-	row   *Mirror
+	rt     engine.Runtime
+	led    *Client
+	log    *slog.Logger
+	node   string
+	nonce  uint64
+	rank   int // spreads the nodes' tries
+	blocks int
+	row    *Mirror
 
-	leader  string // node that holds the lead lease, "" if none
-	leadBy  uint64
 	stamps  map[string]uint64
 	holders map[string]holder
 
-	permit   uint64
-	valid    time.Duration // end of the grant's surely valid time
-	touching bool
-	running  bool // a takeover is under way
-	token    uint64
-	abstain  time.Duration
-	asking   bool
+	permit  uint64
+	valid   time.Duration // end of the grant's surely valid time
+	lead    uint64        // token of the lead, 0 if not held
+	leadAt  time.Duration
+	held    map[int]uint64 // tokens of the blocks held
+	busy    map[string]bool
+	unfit   time.Duration // no blocks before
+	settled time.Duration // last change of the blocks' owners
 }
 
 // NewOffice returns an office for a node; nonce differs for every process.
-func NewOffice(rt engine.Runtime, led *Client, log *slog.Logger, node string, nonce uint64, rank int) *Office {
-	o := &Office{rt: rt, led: led, log: log, node: node, nonce: nonce, rank: rank,
-		stamps: map[string]uint64{}, holders: map[string]holder{}}
+func NewOffice(rt engine.Runtime, led *Client, log *slog.Logger, node string, nonce uint64, rank, blocks int) *Office {
+	o := &Office{rt: rt, led: led, log: log, node: node, nonce: nonce, rank: rank, blocks: blocks,
+		stamps: map[string]uint64{}, holders: map[string]holder{},
+		held: map[int]uint64{}, busy: map[string]bool{}}
 	o.row = NewMirror(rt, led, leasePrefix)
 	o.row.Reset = func() {
 		clear(o.stamps)
 		clear(o.holders)
 	}
-	o.row.Ready = o.look
 	o.row.Apply = o.apply
+	o.row.Taken = o.look
 	return o
 }
 
-// Start begins to run for the office.
+// Start begins to run for the lead.
 func (o *Office) Start() {
 	o.row.Start()
 	o.renew()
+	o.tick()
+}
+
+func (o *Office) tick() {
+	if o.row.IsReady() {
+		o.look()
+	}
+	o.rt.After(time.Second, o.tick)
 }
 
-// Token is the token of the office, 0 when it is not held.
-func (o *Office) Token() uint64 { return o.token }
+// Lead is the token of the lead, 0 when it is not held.
+func (o *Office) Lead() uint64 { return o.lead }
+
+// Block is the token of a block, 0 when it is not held.
+func (o *Office) Block(block int) uint64 { return o.held[block] }
 
 // Leader names the node that was last seen to hold the lead.
-func (o *Office) Leader() string { return o.leader }
+func (o *Office) Leader() string { return o.holders[LeadKey].Node }
 
-// Valid tells whether the office is surely held now.
-func (o *Office) Valid() bool { return o.token != 0 && o.rt.Now() < o.valid }
+// Owner names the node that was last seen to hold a block.
+func (o *Office) Owner(block int) string { return o.holders[BlockKey(block)].Node }
+
+// Valid tells whether what is held is surely held now.
+func (o *Office) Valid() bool { return o.permit != 0 && o.rt.Now() < o.valid }
 
 // ValidUntil is the end of the surely valid time.
 func (o *Office) ValidUntil() time.Duration { return o.valid }
 
 func (o *Office) apply(key string, value json.RawMessage, stamp uint64) {
+	if strings.HasPrefix(key, blockPrefix) {
+		o.settled = o.rt.Now()
+	}
 	if value == nil {
 		delete(o.stamps, key)
 		delete(o.holders, key)
-	} else {
-		var h holder
-		if err := json.Unmarshal(value, &h); err != nil {
-			o.log.Warn("lease value does not parse", "key", key, "err", err)
-			h = holder{}
-		}
-		o.stamps[key], o.holders[key] = stamp, h
+		return
 	}
-	if o.row.IsReady() {
-		o.look()
+	var h holder
+	if err := json.Unmarshal(value, &h); err != nil {
+		o.log.Warn("lease value does not parse", "key", key, "err", err)
 	}
+	o.stamps[key], o.holders[key] = stamp, h
 }
 
 // look compares the lease keys with what this process believes.
 func (o *Office) look() {
-	o.leader = o.holders[LeadKey].Node
-	mine := o.holders[BlockKey] == holder{o.node, o.nonce} && o.holders[LeadKey] == holder{o.node, o.nonce}
-	switch {
-	case mine && o.token < o.stamps[BlockKey]:
-		o.win(o.stamps[BlockKey])
-	case !mine && o.token != 0 && o.stamps[BlockKey] != o.token:
-		// A row older than the token is the watch lagging behind the commit
-		// that won the office.
-		if s, ok := o.stamps[BlockKey]; (ok && s > o.token) || (!ok && o.row.epoch >= o.token) {
-			o.lose("lease taken by another")
+	mine := func(key string) uint64 {
+		if o.permit != 0 && o.holders[key].is(o.node, o.nonce) {
+			return o.stamps[key]
+		}
+		return 0
+	}
+	if token := mine(LeadKey); token != o.lead {
+		was := o.lead
+		o.lead = token
+		if was != 0 {
+			o.log.Info("lead lost", "token", was)
+			o.LeadLost()
+		}
+		if token != 0 {
+			o.log.Info("lead won", "token", token)
+			o.leadAt = o.rt.Now()
+			o.LeadWon(token)
+		}
+	}
+	for b := range o.blocks {
+		token := mine(BlockKey(b))
+		was := o.held[b]
+		if token == was {
+			continue
 		}
+		if token == 0 {
+			delete(o.held, b)
+			o.log.Info("block lost", "block", b, "token", was)
+			o.BlockLost(b)
+			continue
+		}
+		o.held[b] = token
+		o.log.Info("block won", "block", b, "token", token)
+		o.BlockWon(b, token)
+	}
+	if !o.Valid() || !o.row.IsReady() {
+		return
 	}
-	if !mine && o.token == 0 {
-		o.run()
+	o.enrol()
+	o.run()
+	o.retake()
+	if o.lead != 0 {
+		o.assign()
 	}
 }
 
-func (o *Office) win(token uint64) {
-	o.log.Info("office won", "token", token)
-	o.token = token
-	o.leader = o.node
-	o.Won(token)
+// commit sends lease changes, one at a time for a purpose; the watch shows
+// what came of them. Repeats do no harm: the guards fail.
+func (o *Office) commit(purpose string, guards []Guard, apply []Change) {
+	o.busy[purpose] = true
+	permit := o.permit
+	o.led.Commit(guards, apply, func(r Result) {
+		if r.Outcome == Invalid && permit == o.permit {
+			o.log.Info("lease change refused", "purpose", purpose)
+		}
+		wait := o.led.Backoff(1)
+		if r.Outcome == OK {
+			wait = tuning.StateBackoff // time for the watch
+		}
+		o.rt.After(wait, func() {
+			delete(o.busy, purpose)
+			o.look()
+		})
+	})
 }
 
-func (o *Office) lose(why string) {
-	if o.token == 0 {
+func (o *Office) value(h holder) json.RawMessage {
+	raw, err := json.Marshal(h)
+	if err != nil {
+		o.log.Error("lease value does not encode", "err", err)
+		return json.RawMessage("{}")
+	}
+	return raw
+}
+
+// enrol keeps the node's own entry current.
+func (o *Office) enrol() {
+	key := nodePrefix + o.node
+	want := holder{o.node, o.nonce, o.permit, o.rt.Now() < o.unfit}
+	if o.holders[key] == want || o.busy["enrol"] {
 		return
 	}
-	o.log.Info("office lost", "token", o.token, "why", why)
-	o.token = 0
-	o.Lost()
+	o.commit("enrol", nil, []Change{{Set: key, Value: o.value(want), Permit: o.permit}})
 }
 
-// run tries to take the office if it is free, or held by an earlier process
-// of this node.
+// run tries for the lead if it is free, or held by an earlier process of this
+// node.
 func (o *Office) run() {
-	if o.running || o.permit == 0 || !o.row.IsReady() || o.rt.Now() < o.abstain || o.rt.Now() >= o.valid {
+	h, taken := o.holders[LeadKey]
+	if (taken && (h.Node != o.node || h.Nonce == o.nonce)) || o.busy["lead"] {
 		return
 	}
-	for _, key := range []string{LeadKey, BlockKey} {
-		if h, held := o.holders[key]; held && (h.Node != o.node || h.Nonce == o.nonce) {
+	o.busy["lead"] = true
+	pause := time.Duration(float64(tuning.ElectionJitter) * (float64(o.rank) + o.rt.Rand()))
+	o.rt.After(pause, func() {
+		delete(o.busy, "lead")
+		h, taken := o.holders[LeadKey]
+		if !o.Valid() || (taken && (h.Node != o.node || h.Nonce == o.nonce)) {
 			return
 		}
+		o.commit("lead", []Guard{{LeadKey, o.stamps[LeadKey]}},
+			[]Change{{Set: LeadKey, Value: o.value(holder{Node: o.node, Nonce: o.nonce}), Permit: o.permit}})
+	})
+}
+
+// retake takes back the blocks of an earlier process of this node: it is dead,
+// and under the new token nothing of it counts.
+func (o *Office) retake() {
+	if o.rt.Now() < o.unfit || o.busy["retake"] {
+		return
+	}
+	var guards []Guard
+	var apply []Change
+	for b := range o.blocks {
+		key := BlockKey(b)
+		if h, ok := o.holders[key]; ok && h.Node == o.node && h.Nonce != o.nonce {
+			guards = append(guards, Guard{key, o.stamps[key]})
+			apply = append(apply, Change{Set: key, Value: o.value(holder{Node: o.node, Nonce: o.nonce}), Permit: o.permit})
+		}
+	}
+	if len(apply) > 0 {
+		o.commit("retake", guards, apply)
 	}
-	o.running = true
-	pause := time.Duration(float64(tuning.ElectionJitter) * (float64(o.rank) + o.rt.Rand()))
-	o.rt.After(pause, func() { o.take(false) })
 }
 
-// take commits the lease keys. again: the office is held and a new token is
-// wanted.
-func (o *Office) take(again bool) {
-	o.running = true
-	if !again {
-		for _, key := range []string{LeadKey, BlockKey} {
-			if h, held := o.holders[key]; held && (h.Node != o.node || h.Nonce == o.nonce) {
-				o.running = false
-				return
-			}
+// assign leases the blocks that nobody holds, and now and then moves one from
+// a controller with many to one with few.
+func (o *Office) assign() {
+	if o.busy["assign"] || o.rt.Now() < o.leadAt+tuning.FirstAssign {
+		return
+	}
+	load := map[string]int{}
+	var nodes []string
+	for key, h := range o.holders {
+		if strings.HasPrefix(key, nodePrefix) && !h.Unfit && h.Permit != 0 {
+			load[h.Node] = 0
+			nodes = append(nodes, h.Node)
 		}
 	}
-	value, err := json.Marshal(holder{o.node, o.nonce})
-	if err != nil {
-		o.log.Error("lease value does not encode", "err", err)
+	if len(nodes) == 0 {
 		return
 	}
-	permit := o.permit
-	o.led.Commit(
-		[]Guard{{LeadKey, o.stamps[LeadKey]}, {BlockKey, o.stamps[BlockKey]}},
-		[]Change{{Set: LeadKey, Value: value, Permit: permit}, {Set: BlockKey, Value: value, Permit: permit}},
-		func(r Result) {
-			o.running = false
-			switch r.Outcome {
-			case OK:
-				for _, key := range []string{LeadKey, BlockKey} {
-					o.stamps[key], o.holders[key] = max(o.stamps[key], r.Epoch), holder{o.node, o.nonce}
-				}
-				if permit == o.permit && r.Epoch > o.token {
-					o.win(r.Epoch)
-				}
-			case Invalid:
-				if permit == o.permit {
-					o.expired()
-				}
-			case Conflict:
-				if again {
-					o.lose("token renewal met a newer lease")
-				}
-				// The watch tells who has it.
-				o.rt.After(o.led.Backoff(1), o.look)
-			default:
-				// If it was carried out, the watch shows it. Until then the
-				// guards keep a second try from doing harm.
-				o.rt.After(o.led.Backoff(1), func() {
-					if again && o.token != 0 {
-						o.take(true)
-					} else {
-						o.look()
-					}
-				})
+	// The leader has enough to do: others come first.
+	sort.Slice(nodes, func(i, k int) bool {
+		if a, b := nodes[i] == o.node, nodes[k] == o.node; a != b {
+			return b
+		}
+		return nodes[i] < nodes[k]
+	})
+	var free []int
+	for b := range o.blocks {
+		h, ok := o.holders[BlockKey(b)]
+		if !ok {
+			free = append(free, b)
+			continue
+		}
+		load[h.Node]++
+	}
+	least := func() string {
+		best := nodes[0]
+		for _, n := range nodes {
+			if load[n] < load[best] {
+				best = n
 			}
-		})
+		}
+		return best
+	}
+	if len(free) == 0 && o.rt.Now() > o.settled+tuning.MoveBlocksAfter {
+		to := least()
+		for b := range o.blocks {
+			if from := o.holders[BlockKey(b)].Node; load[from] > load[to]+1 {
+				free = append(free, b)
+				break
+			}
+		}
+	}
+	if len(free) == 0 {
+		return
+	}
+	guards := []Guard{{LeadKey, o.lead}}
+	var apply []Change
+	for _, b := range free {
+		to := least()
+		load[to]++
+		entry := o.holders[nodePrefix+to]
+		guards = append(guards, Guard{BlockKey(b), o.stamps[BlockKey(b)]})
+		apply = append(apply, Change{Set: BlockKey(b), Value: o.value(holder{Node: entry.Node, Nonce: entry.Nonce}), Permit: entry.Permit})
+	}
+	o.commit("assign", guards, apply)
 }
 
-// Renew asks for a new token of the office held: what was ordered under the
-// old one is void wherever the new one has been seen.
-func (o *Office) Renew() {
-	if o.token == 0 || o.running {
+// Renew asks for a new token of a block held: what was ordered under the old
+// one is void wherever the new one has been seen, and late commits fail.
+func (o *Office) Renew(block int) {
+	purpose := "renew" + strconv.Itoa(block)
+	token := o.held[block]
+	if token == 0 || o.busy[purpose] {
 		return
 	}
-	o.take(true)
+	key := BlockKey(block)
+	o.commit(purpose, []Guard{{key, token}},
+		[]Change{{Set: key, Value: o.value(holder{Node: o.node, Nonce: o.nonce}), Permit: o.permit}})
 }
 
-// Dispossessed says that a guard on the office's key failed.
-func (o *Office) Dispossessed() {
-	o.lose("guard on the lease failed")
-	o.rt.After(o.led.Backoff(1), o.look)
+// Verify looks at the leases at once: a guard on one of them has failed.
+func (o *Office) Verify(fn func()) {
+	o.row.Check(func(error) { fn() })
 }
 
-// StepDown gives the office up and leaves it to others for a while.
-func (o *Office) StepDown(why string) {
-	if o.token == 0 {
+// GiveUp returns all blocks and takes none for a while: no worker reaches this
+// node.
+func (o *Office) GiveUp() {
+	if len(o.held) == 0 || o.busy["give up"] {
 		return
 	}
-	permit := o.permit
-	o.abstain = o.rt.Now() + tuning.AbstainAfterStepDown
-	o.permit, o.valid = 0, 0
-	o.lose(why)
-	o.led.Drop(permit, func(Outcome) {})
-}
-
-func (o *Office) expired() {
-	o.permit, o.valid = 0, 0
-	o.lose("grant expired")
+	o.unfit = o.rt.Now() + tuning.AbstainAfterStepDown
+	want := holder{o.node, o.nonce, o.permit, true}
+	var guards []Guard
+	apply := []Change{{Set: nodePrefix + o.node, Value: o.value(want), Permit: o.permit}}
+	for b, token := range o.held {
+		guards = append(guards, Guard{BlockKey(b), token})
+		apply = append(apply, Change{Remove: BlockKey(b)})
+	}
+	o.log.Info("giving up blocks: no worker reaches this node")
+	o.commit("give up", guards, apply)
 }
 
 // renew keeps the grant alive, or asks for one. Validity counts from before
 // the request.
 func (o *Office) renew() {
 	again := func(d time.Duration) { o.rt.After(d, o.renew) }
-	asked := o.rt.Now()
-	until := asked + tuning.LeaseTTL - tuning.LeaseTTL*tuning.DriftPerMille/1000 - tuning.LeaseMargin
+	until := o.rt.Now() + tuning.LeaseTTL - tuning.LeaseTTL*tuning.DriftPerMille/1000 - tuning.LeaseMargin
 	if o.permit == 0 {
 		o.led.Grant(tuning.LeaseTTL, func(permit uint64, out Outcome) {
 			if out != OK {
@@ -255,24 +376,24 @@
 				return
 			}
 			o.permit, o.valid = permit, until
-			o.look()
+			if o.row.IsReady() {
+				o.look()
+			}
 			again(tuning.LeaseTouch)
 		})
 		return
 	}
 	permit := o.permit
 	o.led.Touch(permit, func(out Outcome) {
-		switch {
-		case permit != o.permit:
-			again(tuning.LeaseRetry)
-		case out == OK:
+		switch out {
+		case OK:
 			o.valid = max(o.valid, until)
-			if o.row.IsReady() {
-				o.look()
-			}
 			again(tuning.LeaseTouch)
-		case out == Gone:
-			o.expired()
+		case Gone:
+			o.log.Info("grant has run out")
+			o.permit, o.valid = 0, 0
+			o.nonce++ // what hung on the old grant is another holder's
+			o.look()
 			again(0)
 		default:
 			again(tuning.LeaseRetry)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -11,7 +11,6 @@
 
 	"lemonmoor/internal/agents"
 	"lemonmoor/internal/jobs"
-	"lemonmoor/internal/lead"
 	"lemonmoor/internal/work"
 )
 
@@ -50,7 +49,7 @@
 // before orders tasks within a queue.
 func before(a, b *work.Task) bool {
 	if a.Job != b.Job {
-		return lead.Before(a.Job, b.Job)
+		return work.Before(a.Job, b.Job)
 	}
 	return a.Index < b.Index
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -34,6 +34,12 @@
 	// DeafAfter is how long an owner with machines hears no report at all
 	// before it gives up its lease.
 	DeafAfter = 9 * time.Second
+	// FirstAssign is how long a new leader waits for controllers to enrol
+	// before it leases blocks to them.
+	FirstAssign = 400 * time.Millisecond
+	// MoveBlocksAfter is how long the blocks' owners must have been the same
+	// before one is moved for balance.
+	MoveBlocksAfter = 30 * time.Second
 	// ElectionJitter spreads the nodes' tries for a free lease.
 	ElectionJitter = 150 * time.Millisecond
 )
@@ -72,8 +78,10 @@
 	// about 40 bytes, so a record stays below half of the smallest value
 	// limit seen (8 KiB).
 	ChunkTasks = 64
-	// Block is the only block at present: the whole cluster.
-	Block = "0"
+	// Blocks is the number of blocks that the machines are divided into, by
+	// their names. A machine never changes its block, so that its tokens only
+	// grow; changing the number needs an empty cluster.
+	Blocks = 3
 )
 
 // Users.
@@ -133,6 +141,9 @@
 	// WaitBound is the wait in the extra queue after which a task goes first
 	// on the next free machine. The design starts at 30 s.
 	WaitBound = 30 * time.Second
+	// Ahead is how much work may wait in a block's queues, as a part of its
+	// machines' processors; the rest waits with the leader, free for any block.
+	Ahead = 0.5
 	// RoundPause is the least time between two placement rounds.
 	RoundPause = 25 * time.Millisecond
 )
@@ -158,19 +169,32 @@
 	BootFactor = 3.0
 	// BootSlack see BootFactor.
 	BootSlack = 30 * time.Second
+	// ForgetReturned is how long a returned machine is remembered: longer
+	// than a list lags or an owner stays cut off.
+	ForgetReturned = 15 * time.Minute
 	// HireMax is the most machines of one request (PROTOCOL: 50).
 	HireMax = 50
 )
 
 // Peers.
 const (
-	// GossipEvery is the time between two words to the other controllers.
-	GossipEvery = 1 * time.Second
+	// DigestEvery is the time between two words of a block's owner to the
+	// leader.
+	DigestEvery = 1 * time.Second
+	// DigestStale is when the leader no longer trusts an owner's last word.
+	DigestStale = 4 * time.Second
+	// RelayWithin: a worker sent to its owner that is back this soon could
+	// not reach it, and its reports are passed on instead.
+	RelayWithin = 8 * time.Second
 	// PeerTimeout is when a peer's answer is no longer waited for; a worker
 	// gives up after 4 s.
 	PeerTimeout = 2500 * time.Millisecond
-	// PeerRetry is the pause before a lost stream is opened again.
-	PeerRetry = 1 * time.Second
+	// PeerDial is when a connection to a peer counts as failed.
+	PeerDial = 1 * time.Second
+	// PeerPing is how long a connection may be quiet before it is tested.
+	PeerPing = 3 * time.Second
+	// PeerMessage is the most bytes of a message.
+	PeerMessage = 1 << 20
 )
 
 // Process.
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -1,19 +1,262 @@
-// Package work is what has been handed out to the block of machines: tasks,
-// their placements and the records that keep them in the state service.
+// Package work is what has been handed out to the blocks of machines: the
+// records that keep it in the state service, and the tasks that a block's
+// owner makes of them.
 package work
 
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
+	"log/slog"
 	"strconv"
 	"strings"
 	"time"
 
+	"lemonmoor/internal/engine"
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/ledger"
 	"lemonmoor/internal/tuning"
 )
 
-// State of a task.
+// Prefix of all work records: work/BLOCK/JOB/NUMBER.
+const Prefix = "work/"
+
+// Key of a record.
+func Key(block int, job string, number int) string {
+	return Prefix + strconv.Itoa(block) + "/" + job + "/" + strconv.Itoa(number)
+}
+
+// parseKey splits the key of a record.
+func parseKey(key string) (block int, job string, number int, err error) {
+	parts := strings.Split(strings.TrimPrefix(key, Prefix), "/")
+	if len(parts) != 3 || !jobs.ValidID(parts[1]) {
+		return 0, "", 0, fmt.Errorf("not a work record: %q", key)
+	}
+	block, err1 := strconv.Atoi(parts[0])
+	number, err2 := strconv.Atoi(parts[2])
+	if err1 != nil || err2 != nil || block < 0 || number < 0 {
+		return 0, "", 0, fmt.Errorf("not a work record: %q", key)
+	}
+	return block, parts[1], number, nil
+}
+
+// BlockOf is the block that a machine belongs to, by its name alone.
+func BlockOf(host string) int {
+	// Names are counted up, so their sum spreads neighbours evenly; a hash
+	// covers other forms of name.
+	if i := strings.LastIndexByte(host, '-'); i >= 0 {
+		if n, err := strconv.ParseUint(host[i+1:], 10, 63); err == nil {
+			return int(n % tuning.Blocks)
+		}
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(host))
+	return int(h.Sum32() % tuning.Blocks)
+}
+
+// Place is where a task is, or may be.
+type Place struct {
+	Host    string `json:"h"`
+	Attempt uint64 `json:"t"`
+}
+
+// Record is one record: up to tuning.ChunkTasks tasks of a job, handed to one
+// block. The leader creates it; the block's owner updates it; the leader
+// removes it when the job is over.
+type Record struct {
+	Key    string
+	Block  int
+	Job    string
+	Number int
+	Stamp  uint64
+
+	Index    []int // the tasks
+	Done     map[int]bool
+	Returned map[int]bool // given back to the leader, on no machine
+	Placed   map[int]Place
+	Attempts map[int]uint64 // last attempts of tasks that are not placed
+	Zones    []string       // fixed at hand-out for samePlace and spread
+}
+
+// stored is the JSON form.
+type stored struct {
+	Index    string            `json:"i"`
+	Done     string            `json:"d,omitempty"`
+	Returned string            `json:"r,omitempty"`
+	Placed   map[string]Place  `json:"p,omitempty"`
+	Attempts map[string]uint64 `json:"a,omitempty"`
+	Zones    []string          `json:"z,omitempty"`
+}
+
+// Encode writes the record's value.
+func (r *Record) Encode() (json.RawMessage, error) {
+	s := stored{Index: formatRanges(r.Index), Zones: r.Zones}
+	var done, back []int
+	for _, i := range r.Index {
+		if r.Done[i] {
+			done = append(done, i)
+		}
+		if r.Returned[i] {
+			back = append(back, i)
+		}
+	}
+	s.Done, s.Returned = formatRanges(done), formatRanges(back)
+	if len(r.Placed) > 0 {
+		s.Placed = make(map[string]Place, len(r.Placed))
+		for i, p := range r.Placed {
+			s.Placed[strconv.Itoa(i)] = p
+		}
+	}
+	if len(r.Attempts) > 0 {
+		s.Attempts = make(map[string]uint64, len(r.Attempts))
+		for i, a := range r.Attempts {
+			s.Attempts[strconv.Itoa(i)] = a
+		}
+	}
+	return json.Marshal(s)
+}
+
+// Decode reads a record.
+func Decode(key string, value json.RawMessage, stamp uint64) (*Record, error) {
+	block, job, number, err := parseKey(key)
+	if err != nil {
+		return nil, err
+	}
+	var s stored
+	if err := json.Unmarshal(value, &s); err != nil {
+		return nil, fmt.Errorf("work record %s: %w", key, err)
+	}
+	r := &Record{Key: key, Block: block, Job: job, Number: number, Stamp: stamp, Zones: s.Zones,
+		Done: map[int]bool{}, Returned: map[int]bool{}, Placed: map[int]Place{}, Attempts: map[int]uint64{}}
+	if r.Index, err = parseRanges(s.Index, jobs.MaxTasks); err != nil || len(r.Index) == 0 || len(r.Index) > tuning.ChunkTasks {
+		return nil, fmt.Errorf("work record %s: bad tasks %q", key, s.Index)
+	}
+	member := make(map[int]bool, len(r.Index))
+	for _, i := range r.Index {
+		member[i] = true
+	}
+	mark := func(set map[int]bool, text string) error {
+		list, err := parseRanges(text, jobs.MaxTasks)
+		for _, i := range list {
+			if !member[i] {
+				return fmt.Errorf("work record %s: no task %d", key, i)
+			}
+			set[i] = true
+		}
+		return err
+	}
+	if err := mark(r.Done, s.Done); err != nil {
+		return nil, err
+	}
+	if err := mark(r.Returned, s.Returned); err != nil {
+		return nil, err
+	}
+	number2 := func(text string) (int, error) {
+		i, err := strconv.Atoi(text)
+		if err != nil || !member[i] {
+			return 0, fmt.Errorf("work record %s: no task %q", key, text)
+		}
+		return i, nil
+	}
+	for text, p := range s.Placed {
+		i, err := number2(text)
+		if err != nil {
+			return nil, err
+		}
+		r.Placed[i] = p
+	}
+	for text, a := range s.Attempts {
+		i, err := number2(text)
+		if err != nil {
+			return nil, err
+		}
+		r.Attempts[i] = a
+	}
+	return r, nil
+}
+
+// Open tells how many of the record's tasks may still run under it.
+func (r *Record) Open() int {
+	n := 0
+	for _, i := range r.Index {
+		if !r.Done[i] && !r.Returned[i] {
+			n++
+		}
+	}
+	return n
+}
+
+// Store is every node's copy of all work records, fed by a watch.
+type Store struct {
+	// Changed is called for each change; one of the two is nil for a new and
+	// for a removed record.
+	Changed func(old, now *Record)
+
+	mirror  *ledger.Mirror
+	records map[string]*Record
+	byJob   map[string]map[string]*Record
+	log     *slog.Logger
+}
+
+// NewStore returns an empty store.
+func NewStore(rt engine.Runtime, led *ledger.Client, log *slog.Logger) *Store {
+	s := &Store{Changed: func(_, _ *Record) {}, records: map[string]*Record{}, byJob: map[string]map[string]*Record{}, log: log}
+	s.mirror = ledger.NewMirror(rt, led, Prefix)
+	s.mirror.Apply = s.apply
+	s.mirror.Reset = func() {
+		for key := range s.records {
+			s.apply(key, nil, 0)
+		}
+	}
+	return s
+}
+
+// Start begins to read the records.
+func (s *Store) Start() { s.mirror.Start() }
+
+// Check calls fn when the store is proven to be current.
+func (s *Store) Check(fn func(error)) { s.mirror.Check(fn) }
+
+func (s *Store) apply(key string, value json.RawMessage, stamp uint64) {
+	old := s.records[key]
+	if value == nil {
+		if old != nil {
+			delete(s.records, key)
+			delete(s.byJob[old.Job], key)
+			if len(s.byJob[old.Job]) == 0 {
+				delete(s.byJob, old.Job)
+			}
+			s.Changed(old, nil)
+		}
+		return
+	}
+	r, err := Decode(key, value, stamp)
+	if err != nil {
+		s.log.Error("work record does not parse", "err", err)
+		return
+	}
+	s.records[key] = r
+	if s.byJob[r.Job] == nil {
+		s.byJob[r.Job] = map[string]*Record{}
+	}
+	s.byJob[r.Job][key] = r
+	s.Changed(old, r)
+}
+
+// Get finds a record.
+func (s *Store) Get(key string) *Record { return s.records[key] }
+
+// All calls fn for every record.
+func (s *Store) All(fn func(*Record)) {
+	for _, r := range s.records {
+		fn(r)
+	}
+}
+
+// OfJob returns the records of a job.
+func (s *Store) OfJob(job string) map[string]*Record { return s.byJob[job] }
+
+// State of a task, for the block's owner.
 type State uint8
 
 const (
@@ -23,11 +266,13 @@
 	Placed
 	// Done: completed.
 	Done
-	// Dropped: will not run, and is on no machine (its job is cancelled).
+	// Dropped: will not run here, and is on no machine.
 	Dropped
+	// Returned to the leader, and on no machine.
+	Returned
 )
 
-// Task is one task that has been handed out.
+// Task is one task that has been handed to a block.
 type Task struct {
 	Job   *Job
 	Chunk *Chunk
@@ -54,231 +299,113 @@
 	// or higher and, within the session Shift, after Tick.
 	MinToken, Shift, Tick uint64
 	// Seen: listed in a report.
-	Seen    bool
-	Running bool
-	Since   time.Duration // when it was first seen running
-	// Stopping: a halt has been decided.
-	Stopping bool
+	Seen     bool
+	Running  bool
+	Since    time.Duration // when it was first seen running
+	Stopping bool          // a halt has been decided
 	WindDown float64
 
 	// For the queues.
 	Queued    bool
 	Enqueued  time.Duration
 	NotBefore time.Duration
-	Avoid     string // a machine that refused it
+	Avoid     string // a machine that failed it
 	Zone      string // fixed at hand-out, "" for any
 }
 
 // Ref names a task on the wire.
 func (t *Task) Ref() string { return t.Job.Desc.ID + "/" + strconv.Itoa(t.Index) }
 
-// Job is a job of which tasks have been handed out or wait to be.
+// Job is a job of which a block has tasks.
 type Job struct {
 	Desc      *jobs.Description
 	Submitted int64 // ms since the epoch, by the accepting node's clock
-	Arrived   time.Duration
-	Within    bool // fits its team's guarantee with the team's earlier jobs
+	Within    bool  // see lead: fits its team's guarantee
 	Cancelled bool
-	Chunks    map[int]*Chunk
-	HandedOut int
-	DoneCount int
-	Running   int
-	Finishing bool
-	Errors    int           // failures in a row on machines that run other jobs
+	Tasks     map[int]*Task
+	Chunks    map[string]*Chunk
+	Errors    int           // failures in a row
 	NotBefore time.Duration // pause after failures
-	Zones     []string      // fixed at the first hand-out for samePlace and spread
 }
 
-// Open tells how many tasks are handed out and not over.
-func (j *Job) Open() (n int) {
-	for _, c := range j.Chunks {
-		for _, t := range c.Tasks {
-			if t.State == Waiting || t.State == Placed {
-				n++
-			}
-		}
+// Before orders jobs: priority, then work within a guarantee, then age.
+func Before(a, b *Job) bool {
+	if p, q := a.Desc.Priority(), b.Desc.Priority(); p != q {
+		return p > q
 	}
-	return n
-}
-
-// Placed tells how many tasks are, or may be, on machines.
-func (j *Job) Placed() (n int) {
-	for _, c := range j.Chunks {
-		for _, t := range c.Tasks {
-			if t.State == Placed {
-				n++
-			}
-		}
+	if a.Within != b.Within {
+		return a.Within
 	}
-	return n
-}
-
-// Task finds a task that has been handed out.
-func (j *Job) Task(index int) *Task {
-	c := j.Chunks[index/tuning.ChunkTasks]
-	if c == nil || index-c.Base() >= len(c.Tasks) || index < c.Base() {
-		return nil
+	if a.Submitted != b.Submitted {
+		return a.Submitted < b.Submitted
 	}
-	return c.Tasks[index-c.Base()]
+	return a.Desc.ID < b.Desc.ID
 }
 
-// Chunk is a run of a job's tasks that share one record.
+// Chunk is the owner's working copy of a record.
 type Chunk struct {
 	Job    *Job
+	Key    string
 	Number int
+	Stamp  uint64
 	Tasks  []*Task
-	Stored bool // the record exists, or may exist
+	Zones  []string
 	Dirty  bool
-	Urgent bool // a placement waits for the commit
+	Urgent bool // a launch or an end waits for the commit
 	Since  time.Duration
 }
 
-// Base is the index of the chunk's first task.
-func (c *Chunk) Base() int { return c.Number * tuning.ChunkTasks }
-
-// Prefix of all work records of the block.
-const Prefix = "work/" + tuning.Block + "/"
-
-// Key of the chunk's record.
-func (c *Chunk) Key() string {
-	return Prefix + c.Job.Desc.ID + "/" + strconv.Itoa(c.Number)
-}
-
-// ParseKey splits the key of a work record.
-func ParseKey(key string) (job string, number int, err error) {
-	rest, ok := strings.CutPrefix(key, Prefix)
-	if !ok {
-		return "", 0, fmt.Errorf("not a work record: %q", key)
-	}
-	job, num, ok := strings.Cut(rest, "/")
-	if !ok || !jobs.ValidID(job) {
-		return "", 0, fmt.Errorf("not a work record: %q", key)
-	}
-	number, err = strconv.Atoi(num)
-	if err != nil || number < 0 || number*tuning.ChunkTasks >= jobs.MaxTasks {
-		return "", 0, fmt.Errorf("not a work record: %q", key)
-	}
-	return job, number, nil
-}
-
-// record is a chunk as it is stored.
-type record struct {
-	Handed   int               `json:"n"`
-	Done     string            `json:"d,omitempty"` // "0-3,7", counted from the chunk's base
-	Placed   map[string]place  `json:"p,omitempty"`
-	Attempts map[string]uint64 `json:"a,omitempty"` // last attempts of waiting tasks
-	Zones    []string          `json:"z,omitempty"`
-}
-
-type place struct {
-	Host    string `json:"h"`
-	Attempt uint64 `json:"t"`
-}
-
-// Encode writes the chunk's record.
-func (c *Chunk) Encode() (json.RawMessage, error) {
-	r := record{Handed: len(c.Tasks), Zones: c.Job.Zones}
-	var done strings.Builder
-	for i := 0; i < len(c.Tasks); i++ {
-		t := c.Tasks[i]
+// Snapshot is the chunk as a record.
+func (c *Chunk) Snapshot() *Record {
+	r := &Record{Key: c.Key, Job: c.Job.Desc.ID, Number: c.Number, Zones: c.Zones,
+		Done: map[int]bool{}, Returned: map[int]bool{}, Placed: map[int]Place{}, Attempts: map[int]uint64{}}
+	for _, t := range c.Tasks {
+		r.Index = append(r.Index, t.Index)
 		switch t.State {
 		case Done:
-			from := i
-			for i+1 < len(c.Tasks) && c.Tasks[i+1].State == Done {
-				i++
-			}
-			if done.Len() > 0 {
-				done.WriteByte(',')
-			}
-			done.WriteString(strconv.Itoa(from))
-			if i > from {
-				done.WriteString("-" + strconv.Itoa(i))
-			}
+			r.Done[t.Index] = true
 		case Placed:
-			if r.Placed == nil {
-				r.Placed = map[string]place{}
-			}
-			r.Placed[strconv.Itoa(i)] = place{t.Host, t.Attempt}
-		default:
-			if t.Attempt > 0 {
-				if r.Attempts == nil {
-					r.Attempts = map[string]uint64{}
-				}
-				r.Attempts[strconv.Itoa(i)] = t.Attempt
-			}
+			r.Placed[t.Index] = Place{t.Host, t.Attempt}
+			continue
+		case Returned:
+			r.Returned[t.Index] = true
+		}
+		if t.State != Done && t.Attempt > 0 {
+			r.Attempts[t.Index] = t.Attempt
 		}
 	}
-	r.Done = done.String()
-	return json.Marshal(r)
+	return r
 }
 
-// Decode reads a record into a new chunk of the job. Every placement in it is
-// one that an earlier token's launch may have carried out.
-func Decode(j *Job, number int, raw json.RawMessage) (*Chunk, error) {
-	var r record
-	if err := json.Unmarshal(raw, &r); err != nil {
-		return nil, fmt.Errorf("work record: %w", err)
-	}
-	c := &Chunk{Job: j, Number: number, Stored: true}
-	if r.Handed < 0 || r.Handed > tuning.ChunkTasks || c.Base()+r.Handed > j.Desc.Tasks {
-		return nil, fmt.Errorf("work record: %d tasks in chunk %d", r.Handed, number)
-	}
-	for i := range r.Handed {
-		c.Tasks = append(c.Tasks, &Task{Job: j, Chunk: c, Index: c.Base() + i})
-	}
-	at := func(s string) (*Task, error) {
-		i, err := strconv.Atoi(s)
-		if err != nil || i < 0 || i >= r.Handed {
-			return nil, fmt.Errorf("work record: no task %q", s)
+// Load makes an owner's working copy of a record. Every placement in it is one
+// that an earlier token's launch may have carried out.
+func Load(j *Job, r *Record) *Chunk {
+	c := &Chunk{Job: j, Key: r.Key, Number: r.Number, Stamp: r.Stamp, Zones: r.Zones}
+	for _, i := range r.Index {
+		t := &Task{Job: j, Chunk: c, Index: i, Attempt: r.Attempts[i], Zone: ZoneOf(r.Zones, i)}
+		switch p, placed := r.Placed[i]; {
+		case r.Done[i]:
+			t.State, t.DoneDurable = Done, true
+		case r.Returned[i]:
+			t.State = Returned
+		case placed:
+			t.State, t.Host, t.Attempt = Placed, p.Host, p.Attempt
+			t.Durable, t.Sent = true, true
 		}
-		return c.Tasks[i], nil
-	}
-	if r.Done != "" {
-		for part := range strings.SplitSeq(r.Done, ",") {
-			lo, hi, ranged := strings.Cut(part, "-")
-			if !ranged {
-				hi = lo
-			}
-			first, err := at(lo)
-			if err != nil {
-				return nil, err
-			}
-			last, err := at(hi)
-			if err != nil {
-				return nil, err
-			}
-			for i := first.Index; i <= last.Index; i++ {
-				t := c.Tasks[i-c.Base()]
-				t.State, t.DoneDurable = Done, true
-			}
+		c.Tasks = append(c.Tasks, t)
+		if t.State != Returned {
+			j.Tasks[i] = t // a returned task may be back in a later record
 		}
 	}
-	for s, p := range r.Placed {
-		t, err := at(s)
-		if err != nil {
-			return nil, err
-		}
-		t.State, t.Host, t.Attempt = Placed, p.Host, p.Attempt
-		t.Durable, t.Sent = true, true
-	}
-	for s, a := range r.Attempts {
-		t, err := at(s)
-		if err != nil {
-			return nil, err
-		}
-		t.Attempt = a
-	}
-	if len(r.Zones) > 0 {
-		j.Zones = r.Zones
-	}
-	return c, nil
+	j.Chunks[c.Key] = c
+	return c
 }
 
 // ZoneOf is the zone fixed for a task, "" for any: one for samePlace, in turn
 // for spread.
-func (j *Job) ZoneOf(index int) string {
-	if len(j.Zones) == 0 {
+func ZoneOf(zones []string, index int) string {
+	if len(zones) == 0 {
 		return ""
 	}
-	return j.Zones[index%len(j.Zones)]
+	return zones[index%len(zones)]
 }
