--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -133,9 +133,8 @@
 // Need is tasks of a job for which there is no room.
 type Need struct {
 	Desc   *jobs.Description
-	Zones  []string
+	Zone   string // fixed at hand-out, "" for any
 	Number int
-	Since  int64 // ms since the epoch
 }
 
 // Fleet is the leader's view of the cloud.
@@ -563,7 +562,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				k := kind{t.Label, zone, spot}
-				if now < f.pauses[k] || !f.empty(k).Fits(needs[0].Desc, work.ZoneOf(needs[0].Zones, 0)) {
+				if now < f.pauses[k] || !f.empty(k).Fits(needs[0].Desc, needs[0].Zone) {
 					continue
 				}
 				price := t.Price
@@ -602,7 +601,7 @@
 func (f *Fleet) fill(k kind, needs []Need) (used float64, rest []Need) {
 	r := f.empty(k)
 	for _, n := range needs {
-		for n.Number > 0 && r.Fits(n.Desc, work.ZoneOf(n.Zones, 0)) {
+		for n.Number > 0 && r.Fits(n.Desc, n.Zone) {
 			r.Take(n.Desc)
 			used += max(n.Desc.CPUs, n.Desc.MemoryGB/r.Type.MemoryGB*r.Type.CPUs)
 			n.Number--
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -95,30 +95,29 @@
 		if p.cancelled {
 			continue
 		}
-		for block := range p.waiting {
-			n := p.waiting[block]
+		for _, q := range l.queues(p) {
+			n := q.number
 			for ; n > 0; n-- {
-				zone := work.ZoneOf(p.zones, 0)
-				r := board.find(p, zone, block, false)
+				r := board.find(p, q.zone, q.block, false)
 				if r == nil {
-					r = board.find(p, zone, block, true)
+					r = board.find(p, q.zone, q.block, true)
 				}
 				if r == nil {
 					break
 				}
 				r.Take(p.desc)
 				if r.Booting {
-					l.recallFor(board, p, block)
+					l.recallFor(board, p, q)
 				}
 			}
 			if n <= 0 {
 				continue
 			}
-			board.queued[block] += float64(n) * p.desc.CPUs
-			for ; n > 0 && l.recallFor(board, p, block); n-- {
+			board.queued[q.block] += float64(n) * p.desc.CPUs
+			for ; n > 0 && l.recallFor(board, p, q); n-- {
 			}
 			if n > 0 {
-				unmet = append(unmet, fleet.Need{Desc: p.desc, Zones: p.zones, Number: n, Since: p.e.At})
+				unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: q.zone, Number: n})
 			}
 		}
 	}
@@ -132,25 +131,32 @@
 		if p.zones == nil && (p.desc.OneZone || p.desc.Spread) {
 			p.zones = l.fleet.Zones(p.desc)
 		}
-		held := 0
-		for n := p.left(); n > 0; n-- {
-			if u.cpus+float64(held+1)*p.desc.CPUs > u.cpusMax+1e-9 || u.cards+float64(held+1)*p.desc.Cards > u.cardsMax+1e-9 {
+		held := map[string]int{} // by zone
+		number := 0
+		for k, left := 0, p.left(); left > 0; left-- {
+			if u.cpus+float64(number+1)*p.desc.CPUs > u.cpusMax+1e-9 || u.cards+float64(number+1)*p.desc.Cards > u.cardsMax+1e-9 {
 				full[p.desc.Team] = true
 				break
 			}
-			if held > 0 {
-				held++ // what did not fit for one task does not for the next
+			if number > 0 {
+				// What did not fit for one task does not for the next; the
+				// zones of a spread job take turns.
+				held[work.ZoneOf(p.zones, p.nth(k))]++
+				number++
+				k++
 				continue
 			}
-			block := l.choose(board, p, work.ZoneOf(p.zones, p.first()))
+			zone := work.ZoneOf(p.zones, p.first())
+			block := l.choose(board, p, zone)
 			if block < 0 {
-				held++
+				held[zone]++
+				number, k = 1, 1
 				continue
 			}
 			batches = l.give(batches, p, block, u)
 		}
-		if held > 0 {
-			unmet = append(unmet, fleet.Need{Desc: p.desc, Zones: p.zones, Number: held, Since: p.e.At})
+		for zone, n := range held {
+			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n})
 		}
 	}
 	l.fleet.Want(unmet)
@@ -180,22 +186,62 @@
 
 // recallFor asks a block to give a waiting task back when another has an open
 // machine with room for it.
-func (l *Leader) recallFor(b *board, p *plan, block int) bool {
+func (l *Leader) recallFor(b *board, p *plan, q queue) bool {
 	if tuning.Blocks == 1 {
 		return false
 	}
-	r := b.find(p, work.ZoneOf(p.zones, 0), -1, false)
-	if r == nil || r.Block == block {
+	r := b.find(p, q.zone, -1, false)
+	if r == nil || r.Block == q.block {
 		return false
 	}
 	r.Take(p.desc)
-	if l.recalls[block] == nil {
-		l.recalls[block] = map[string]int{}
+	if l.recalls[q.block] == nil {
+		l.recalls[q.block] = map[string]int{}
 	}
-	l.recalls[block][p.e.ID]++
+	l.recalls[q.block][p.e.ID]++
 	return true
 }
 
+// queue is tasks of a job that wait in a block, all for one zone.
+type queue struct {
+	block  int
+	zone   string
+	number int
+}
+
+// queues tells where tasks of a job wait.
+func (l *Leader) queues(p *plan) []queue {
+	var list []queue
+	if len(p.zones) <= 1 {
+		for block, n := range p.waiting {
+			if n > 0 {
+				list = append(list, queue{block, work.ZoneOf(p.zones, 0), n})
+			}
+		}
+		return list
+	}
+	sums := map[queue]int{}
+	add := func(r *work.Record) {
+		for _, i := range r.Index {
+			if _, placed := r.Placed[i]; !placed && !r.Done[i] && !r.Returned[i] {
+				sums[queue{block: r.Block, zone: work.ZoneOf(p.zones, i)}]++
+			}
+		}
+	}
+	for _, r := range l.store.OfJob(p.e.ID) {
+		add(r)
+	}
+	for _, r := range l.pending {
+		if r.Job == p.e.ID {
+			add(r)
+		}
+	}
+	for q, n := range sums {
+		list = append(list, queue{q.block, q.zone, n})
+	}
+	return list
+}
+
 // give puts a job's next task into a batch.
 func (l *Leader) give(batches []*batch, p *plan, block int, u *usage) []*batch {
 	i := p.first()
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -41,6 +41,14 @@
 // left tells how many tasks are not handed out.
 func (p *plan) left() int { return len(p.back) + p.desc.Tasks - p.next }
 
+// nth is the task k places behind the next to hand out.
+func (p *plan) nth(k int) int {
+	if k < len(p.back) {
+		return p.back[k]
+	}
+	return p.next + k - len(p.back)
+}
+
 // first is the next task to hand out.
 func (p *plan) first() int {
 	if len(p.back) > 0 {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -81,7 +81,7 @@
 	// Blocks is the number of blocks that the machines are divided into, by
 	// their names. A machine never changes its block, so that its tokens only
 	// grow; changing the number needs an empty cluster.
-	Blocks = 3
+	Blocks = 1
 )
 
 // Users.
