--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -129,7 +129,13 @@
 			continue
 		}
 		if p.zones == nil && (p.desc.OneZone || p.desc.Spread) {
+			// A leader that does not know the machine types yet must not fix
+			// "any zone" for a job that may not have it.
 			p.zones = l.fleet.Zones(p.desc)
+			if len(p.zones) == 0 || (p.desc.Spread && len(p.zones) < 2 && p.desc.Tasks > 1) {
+				p.zones = nil
+				continue
+			}
 		}
 		held := map[string]int{} // by zone
 		number := 0
