A record that comes before its job is taken in when the job is known

Cause: an owner that saw a work record before its job asked once for the jobs; when that answer was lost, the record's tasks waited for ever.

--- a/internal/block/shelf.go
+++ b/internal/block/shelf.go
@@ -157,16 +157,8 @@
 	}
 	switch {
 	case old == nil && now.Block == s.block && s.chunks[now.Key] == nil:
-		if s.cat.Get(now.Job) == nil {
-			// The watch of the jobs is behind that of the records.
-			term := s.term
-			s.cat.Check(func(error) {
-				if r := s.store.Get(now.Key); term == s.term && r != nil && s.chunks[r.Key] == nil && s.cat.Get(r.Job) != nil {
-					s.RecordChanged(nil, r)
-				}
-			})
-			return
-		}
+		// If the watch of the jobs is behind that of the records, the job is
+		// not known yet; JobChanged comes back to the record then.
 		if c := s.add(now); c != nil {
 			s.offer(c)
 		}
@@ -201,10 +193,21 @@
 	}
 }
 
-// JobChanged takes note of a cancelled job.
+// JobChanged takes note of a cancelled job, and of a new one whose records
+// came first.
 func (s *Shelf) JobChanged(e *intake.Entry) {
+	if !s.loaded {
+		return
+	}
+	for key, r := range s.store.OfJob(e.ID) {
+		if r.Block == s.block && s.chunks[key] == nil {
+			if c := s.add(r); c != nil {
+				s.offer(c)
+			}
+		}
+	}
 	j := s.jobs[e.ID]
-	if !s.loaded || j == nil || e.Phase != intake.Cancelled || j.Cancelled {
+	if j == nil || e.Phase != intake.Cancelled || j.Cancelled {
 		return
 	}
 	j.Cancelled = true
