--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -9,9 +9,9 @@
 const (
 	// LeaseTTL is how long the lead and block leases last without renewal.
 	// The design starts at 10 s.
-	LeaseTTL = 10 * time.Second
+	LeaseTTL = 5 * time.Second
 	// LeaseTouch is the time between renewals: three tries fit into a lease.
-	LeaseTouch = 3 * time.Second
+	LeaseTouch = 1500 * time.Millisecond // * time.Second
 	// LeaseRetry is the pause before a failed renewal is tried again.
 	LeaseRetry = 500 * time.Millisecond
 	// DriftPerMille bounds the drift between two steady clocks (0.05 %), in
@@ -163,7 +163,7 @@
 	// CapacityPause is how long a refused kind of machine is left alone.
 	CapacityPause = 12 * time.Second
 	// IdleKeep is how long a machine without tasks is kept.
-	IdleKeep = 40 * time.Second
+	IdleKeep = 25 * time.Second
 	// BootFactor times the nominal boot time, plus BootSlack, is when a
 	// machine that never reported is deleted.
 	BootFactor = 3.0
