--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -74,7 +74,10 @@
 		n.leader.End()
 		n.fleet.End()
 	}
-	n.office.BlockWon = func(b int, token uint64) { n.owners[b].begin(token) }
+	n.office.BlockWon = func(b int, token uint64) {
+		n.lastBeat = rt.Now() // its workers need time to come here
+		n.owners[b].begin(token)
+	}
 	n.office.BlockLost = func(b int) { n.owners[b].end() }
 	n.cat.Changed = func(e *intake.Entry) {
 		n.leader.JobChanged(e)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -40,7 +40,8 @@
 	kind    kind
 	rented  time.Duration
 	listed  bool
-	missed  int // lists in a row without it, after it was listed
+	booting bool // by the newest list
+	missed  int  // lists in a row without it, after it was listed
 	failed  bool
 	release bool // to be returned
 	asked   bool // the request is under way
@@ -338,6 +339,7 @@
 					f.machines[l.ID] = m
 				}
 				m.addr, m.listed, m.missed = l.Addr, true, 0
+				m.booting = l.Phase == "booting"
 				if l.Phase == "failed" && !m.failed {
 					m.failed = true
 					f.giveBack(m, "failed")
@@ -398,7 +400,9 @@
 		if s.Up {
 			m.addr, m.kind = s.Addr, kind{s.Build, s.Zone, s.Spot}
 		}
-		m.state, m.heard, m.known = s, now, s.Up
+		// A new owner knows some machines from their records only, until
+		// they report to it: that makes none of them one that never booted.
+		m.state, m.heard, m.known = s, now, m.known || s.Up
 		if s.Back != "" {
 			f.giveBack(m, s.Back)
 		}
@@ -468,7 +472,7 @@
 				boot = t.BootS
 			}
 			limit := time.Duration(boot*tuning.BootFactor*float64(time.Second)) + tuning.BootSlack
-			if now-m.rented > limit && now-f.begun > tuning.BootSlack {
+			if m.booting && now-m.rented > limit && now-f.begun > tuning.BootSlack {
 				f.giveBack(m, "never booted")
 			}
 			continue
@@ -535,6 +539,9 @@
 	if f.hiring > 0 || f.types == nil || len(f.needs) == 0 || f.rt.Now()-f.begun < tuning.DigestEvery*2 {
 		return
 	}
+	if f.soonDone() {
+		return
+	}
 	needs := slices.Clone(f.needs)
 	f.needs = nil // until the next hand-out has seen what comes
 	for try := 0; try < 2 && len(needs) > 0; try++ {
@@ -552,6 +559,29 @@
 	}
 }
 
+// soonDone tells whether the machines there are will have done the waiting work
+// before new ones would be up. Work that none of them can run never is.
+func (f *Fleet) soonDone() bool {
+	rooms := f.Rooms()
+	var cpus, work float64
+	for _, r := range rooms {
+		cpus += r.Type.CPUs
+	}
+	for _, n := range f.needs {
+		if !slices.ContainsFunc(rooms, func(r *Room) bool { return r.Could(n.Desc, n.Zone) }) {
+			return false
+		}
+		work += float64(n.Number) * n.Desc.CPUs * n.Desc.EstimateS
+	}
+	boot := 0.0
+	for i := range f.types {
+		if b := f.types[i].BootS; boot == 0 || b < boot {
+			boot = b
+		}
+	}
+	return work < tuning.RentBacklog*boot*cpus
+}
+
 // choose finds the kind of machine that does the waiting work, beginning with
 // the first, at the least price, and how many of it are wanted.
 func (f *Fleet) choose(needs []Need) (best kind, number int, rest []Need) {
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"lemonmoor/internal/engine"
+	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/settings"
+)
+
+// still is a runtime on which nothing happens by itself.
+type still struct{ now time.Duration }
+
+func (s *still) Now() time.Duration          { return s.now }
+func (s *still) Wall() time.Time             { return time.UnixMilli(0) }
+func (s *still) Rand() float64               { return 0.5 }
+func (s *still) After(time.Duration, func()) {}
+func (s *still) Call(string, httpwire.Call, time.Duration, func(httpwire.Answer, error)) {
+}
+func (s *still) Peer(string, string, []byte, time.Duration, func([]byte, error)) {}
+
+var _ engine.Runtime = (*still)(nil)
+
+type leading struct{}
+
+func (leading) Lead() uint64     { return 7 }
+func (leading) Valid() bool      { return true }
+func (leading) Owner(int) string { return "node-0" }
+
+// TestNewOwnerLosesNoMachine guards against a fault seen on a rough day: a new
+// owner, which knew the machines from its records only, made the leader return
+// all of them as never booted, with their tasks.
+func TestNewOwnerLosesNoMachine(t *testing.T) {
+	rt := &still{now: time.Hour}
+	f := New(rt, "", leading{}, &settings.Settings{}, slog.New(slog.DiscardHandler))
+	f.types = []jobs.MachineType{{Label: "g8", CPUs: 8, BootS: 20}}
+	f.machines["vm-1"] = &machine{id: "vm-1", kind: kind{build: "g8"}, rented: 0, listed: true}
+	f.machines["vm-2"] = &machine{id: "vm-2", kind: kind{build: "g8"}, rented: 0, listed: true, booting: true}
+	f.Hear(&Digest{Hosts: []HostState{{ID: "vm-1", Build: "g8", Up: true, Open: true, Tasks: 3}}})
+	rt.now += time.Second
+	f.Hear(&Digest{Hosts: []HostState{{ID: "vm-1", Tasks: 3}}})
+	f.judge()
+	if m := f.machines["vm-1"]; m.release {
+		t.Errorf("a machine with tasks is returned: %s", m.why)
+	}
+	if m := f.machines["vm-2"]; !m.release {
+		t.Error("a machine that has been booting for an hour is kept")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,8 +92,6 @@
 	WaitBoundS *float64 `hcl:"wait_bound_s,optional"`
 	// IdleKeepS is how long a machine without tasks is kept, in seconds.
 	IdleKeepS *float64 `hcl:"idle_keep_s,optional"`
-	// SpareCPUs is how many free processors are kept ready for urgent work.
-	SpareCPUs *float64 `hcl:"spare_cpus,optional"`
 }
 
 // Load reads the platform's file and, if hclPath is not empty, the
@@ -236,7 +234,6 @@
 	}{
 		{"wait_bound_s", op.WaitBoundS, 0, 86400},
 		{"idle_keep_s", op.IdleKeepS, 0, 86400},
-		{"spare_cpus", op.SpareCPUs, 0, 100000},
 	} {
 		if f.value != nil && (*f.value < f.min || *f.value > f.max || math.IsNaN(*f.value)) {
 			return op, fmt.Errorf("%s:%d: %s: %g is outside %g to %g", name, lineOf(src, f.key), f.key, *f.value, f.min, f.max)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -9,9 +9,9 @@
 const (
 	// LeaseTTL is how long the lead and block leases last without renewal.
 	// The design starts at 10 s.
-	LeaseTTL = 5 * time.Second
+	LeaseTTL = 10 * time.Second
 	// LeaseTouch is the time between renewals: three tries fit into a lease.
-	LeaseTouch = 1500 * time.Millisecond // * time.Second
+	LeaseTouch = 3 * time.Second
 	// LeaseRetry is the pause before a failed renewal is tried again.
 	LeaseRetry = 500 * time.Millisecond
 	// DriftPerMille bounds the drift between two steady clocks (0.05 %), in
@@ -166,9 +166,13 @@
 	IdleKeep = 25 * time.Second
 	// BootFactor times the nominal boot time, plus BootSlack, is when a
 	// machine that never reported is deleted.
-	BootFactor = 3.0
+	BootFactor = 2.0
 	// BootSlack see BootFactor.
-	BootSlack = 30 * time.Second
+	BootSlack = 10 * time.Second
+	// RentBacklog: machines are rented only when the waiting work would keep
+	// those there are busy for longer than this part of a boot; a queue that is
+	// gone by then needs none.
+	RentBacklog = 0.5
 	// ForgetReturned is how long a returned machine is remembered: longer
 	// than a list lags or an owner stays cut off.
 	ForgetReturned = 15 * time.Minute
