--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -40,14 +40,20 @@
 	owners [tuning.Blocks]*owner
 	peers  map[string]string // endpoints by node
 
-	lastBeat time.Duration            // from any worker, for any block
-	sent     map[string]time.Duration // workers sent elsewhere, and when
+	lastBeat time.Duration         // from any worker, for any block
+	sent     map[string]redirected // workers sent to their owners
 	telling  [tuning.Blocks]bool
 }
 
+// redirected is a worker that was sent to its owner.
+type redirected struct {
+	last  time.Duration // its last report here
+	since time.Duration // when it was sent away
+}
+
 // New puts a node together. nonce differs for every process.
 func New(rt engine.Runtime, set *settings.Settings, nonce uint64, log *slog.Logger) *Node {
-	n := &Node{rt: rt, set: set, log: log, peers: map[string]string{}, sent: map[string]time.Duration{}}
+	n := &Node{rt: rt, set: set, log: log, peers: map[string]string{}, sent: map[string]redirected{}}
 	rank := 0
 	for _, p := range set.Seeds {
 		n.peers[p.Node] = p.Endpoint
@@ -128,8 +134,8 @@
 		n.lastBeat = now
 	}
 	n.leader.Wake()
-	for host, at := range n.sent {
-		if now-at > tuning.RelayWithin {
+	for host, s := range n.sent {
+		if now-s.last > tuning.RelayWithin {
 			delete(n.sent, host)
 		}
 	}
@@ -206,6 +212,10 @@
 			answer(nil, false)
 			return
 		}
+		// A worker whose reports are passed on reaches this node too. Not to
+		// count it made owners give up their blocks after a restart, when
+		// all workers still reported through another node.
+		n.lastBeat = n.rt.Now()
 		status, reply := o.table.Report(r)
 		o.wanted = true
 		answer(reply, status == 200)
@@ -246,23 +256,24 @@
 		reply(status, answer, 0)
 		return
 	}
-	leader := n.office.Owner(b)
-	at, back := n.sent[r.Host]
-	endpoint := n.peers[leader]
-	if !back || now-at > tuning.RelayWithin || endpoint == "" {
-		n.sent[r.Host] = now
-		n.redirect(leader, reply)
+	to := n.office.Owner(b)
+	s, back := n.sent[r.Host]
+	endpoint := n.peers[to]
+	if !back || now-s.last > tuning.RelayWithin || now-s.since > tuning.RelayFor || endpoint == "" {
+		n.sent[r.Host] = redirected{now, now}
+		n.redirect(to, reply)
 		return
 	}
 	// It could not reach its owner, or it would not be back: the report is
-	// passed on. An answer counts whichever node gives it.
+	// passed on. An answer counts whichever node gives it. Now and then the
+	// worker is sent to its owner again, which may be back.
+	s.last = now
+	n.sent[r.Host] = s
 	n.rt.Peer(endpoint, beatPath, body, tuning.PeerTimeout, func(answer []byte, err error) {
 		if err != nil {
-			n.sent[r.Host] = n.rt.Now()
 			n.redirect(n.office.Owner(b), reply)
 			return
 		}
-		n.sent[r.Host] = n.rt.Now()
 		reply(200, answer, 0)
 	})
 }
--- /dev/null
+++ b/internal/controller/relay_test.go
@@ -0,0 +1,39 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestOwnerBehindARelay: an owner that no worker reaches directly keeps its
+// block while reports are passed on to it, and its work gets done.
+func TestOwnerBehindARelay(t *testing.T) {
+	w := newWorld(3)
+	for i := range 4 {
+		j := &simJob{id: fmt.Sprintf("wk-%06d", i), team: "red", tasks: 4, cpus: 2, length: 2 * time.Second, spot: true, done: map[int]bool{}}
+		w.after(time.Duration(i*15)*time.Second, func() { w.user(j, 0) })
+	}
+	var owner *simNode
+	var token uint64
+	w.after(10*time.Second, func() {
+		for _, n := range w.nodes {
+			if o := n.node.owners[0]; o.token != 0 {
+				owner, token = n, o.token
+			}
+		}
+		w.cut["workers|"+owner.name] = true
+	})
+	w.run(110 * time.Second)
+	for _, b := range w.broken {
+		t.Error(b)
+	}
+	for _, j := range w.jobs {
+		if j.told != "done" {
+			t.Errorf("%s is %q", j.id, j.told)
+		}
+	}
+	if owner == nil || owner.node.office.Block(0) == 0 {
+		t.Errorf("the owner of token %d gave its block up", token)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -190,6 +190,9 @@
 	// RelayWithin: a worker sent to its owner that is back this soon could
 	// not reach it, and its reports are passed on instead.
 	RelayWithin = 8 * time.Second
+	// RelayFor is how long a worker's reports are passed on before it is sent
+	// to its owner once more.
+	RelayFor = 15 * time.Second
 	// PeerTimeout is when a peer's answer is no longer waited for; a worker
 	// gives up after 4 s.
 	PeerTimeout = 2500 * time.Millisecond
