--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -478,6 +478,10 @@
 			continue
 		}
 		keep := f.set.IdleKeep()
+		if t := f.Type(m.kind.build); t != nil && !m.kind.spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
+			// Kept ready as long as a spot machine would be for the money.
+			keep = time.Duration(float64(keep) * max(t.SpotPrice/t.Price, tuning.IdleLeast))
+		}
 		if m.drain == "" && f.fresh(m) && m.state.Open && m.state.Tasks == 0 &&
 			m.state.IdleMS > keep.Milliseconds() && now-f.begun > keep/2 {
 			m.drain = "idle" // its owner agrees, then gives it back
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -163,7 +163,10 @@
 	// CapacityPause is how long a refused kind of machine is left alone.
 	CapacityPause = 12 * time.Second
 	// IdleKeep is how long a machine without tasks is kept.
-	IdleKeep = 25 * time.Second
+	IdleKeep = 40 * time.Second
+	// IdleLeast is the least part of it that an ordinary machine is kept, which
+	// costs several times a spot one.
+	IdleLeast = 0.3
 	// BootFactor times the nominal boot time, plus BootSlack, is when a
 	// machine that never reported is deleted.
 	BootFactor = 2.0
