--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 const (
 	digestPath = "/digest" // an owner's word to the leader
 	beatPath   = "/beat"   // a worker's report for the owner that it cannot reach
+	statePath  = "/state"  // does the state service answer you?
 )
 
 // Node is one controller.
@@ -43,6 +44,8 @@
 	lastBeat time.Duration         // from any worker, for any block
 	sent     map[string]redirected // workers sent to their owners
 	telling  [tuning.Blocks]bool
+	shared   time.Duration // when a peer last said that it has no answers either
+	alone    bool          // a peer is served by the state service, this node is not
 }
 
 // redirected is a worker that was sent to its owner.
@@ -134,6 +137,7 @@
 		n.lastBeat = now
 	}
 	n.leader.Wake()
+	n.compare()
 	for host, s := range n.sent {
 		if now-s.last > tuning.RelayWithin {
 			delete(n.sent, host)
@@ -219,11 +223,41 @@
 		status, reply := o.table.Report(r)
 		o.wanted = true
 		answer(reply, status == 200)
+	case statePath:
+		reply, err := json.Marshal(n.served())
+		answer(reply, err == nil)
 	default:
 		answer(nil, false)
 	}
 }
 
+// served tells whether the state service has answered lately.
+func (n *Node) served() bool {
+	return n.led.Answered && n.rt.Now()-n.led.LastAnswer < tuning.UnhealthyAfter
+}
+
+// compare asks the peers, when the state service is silent, whether it is so
+// for them: only a node that is refused alone sends its users elsewhere.
+func (n *Node) compare() {
+	if n.served() {
+		n.alone = false
+		return
+	}
+	for _, endpoint := range n.peers {
+		n.rt.Peer(endpoint, statePath, []byte("{}"), tuning.PeerTimeout, func(body []byte, err error) {
+			var theirs bool
+			if err != nil || json.Unmarshal(body, &theirs) != nil {
+				return
+			}
+			if theirs {
+				n.alone = !n.served()
+			} else {
+				n.shared = n.rt.Now()
+			}
+		})
+	}
+}
+
 // Settle takes the decisions that a batch of commands has made necessary.
 func (n *Node) Settle() {
 	n.leader.Settle()
@@ -292,10 +326,14 @@
 	reply(421, body, 0)
 }
 
-// healthy tells whether users can be served.
+// healthy tells whether this node is the place for users. In an outage that
+// the peers share it is as good as any: it answers 503 at once, and serves again
+// as soon as the state service does.
 func (n *Node) healthy() bool {
-	return n.cat.Ready() && n.fleet.Types() != nil && n.led.Answered &&
-		n.rt.Now()-n.led.LastAnswer < tuning.UnhealthyAfter
+	if !n.cat.Ready() || n.fleet.Types() == nil {
+		return false
+	}
+	return n.served() || (!n.alone && n.shared > 0 && n.rt.Now()-n.shared < tuning.UnhealthyAfter)
 }
 
 // Handle serves one request, on the loop.
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -37,3 +37,27 @@
 		t.Errorf("the owner of token %d gave its block up", token)
 	}
 }
+
+// TestHealthInAnOutage: in an outage of the state service the nodes stay
+// healthy, since none is better than another; a node that is refused alone does
+// not.
+func TestHealthInAnOutage(t *testing.T) {
+	w := newWorld(4)
+	w.run(20 * time.Second)
+	w.outage = true
+	w.run(32 * time.Second)
+	for _, n := range w.nodes {
+		if !n.node.healthy() {
+			t.Errorf("%s is unhealthy in an outage that all share", n.name)
+		}
+	}
+	w.outage = false
+	w.run(40 * time.Second)
+	w.cut["node-1|state"] = true
+	w.run(55 * time.Second)
+	for _, n := range w.nodes {
+		if got, want := n.node.healthy(), n.name != "node-1"; got != want {
+			t.Errorf("%s healthy: %v", n.name, got)
+		}
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -104,7 +104,7 @@
 	CreateTimeout = 3500 * time.Millisecond
 	// UnhealthyAfter is how long a node may go without any answer from the
 	// state service before it calls itself unhealthy, if a peer has one.
-	UnhealthyAfter = 5 * time.Second
+	UnhealthyAfter = 4 * time.Second
 	// FetchLimit is the number of job descriptions a node serves at once.
 	FetchLimit = 64
 )
