--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -100,6 +100,14 @@
 			o.shelf.RecordChanged(old, now)
 		}
 	}
+	pace := func() time.Duration {
+		if n.office.Lead() != 0 || n.owning() {
+			return 0
+		}
+		return tuning.PassivePause
+	}
+	n.store.Pace(pace)
+	n.cat.Pace(pace)
 	n.desk.Types = n.fleet.Types
 	n.desk.Progress = func(id string) (int, int) { return lead.Progress(n.store, id) }
 	return n
@@ -114,6 +122,16 @@
 	n.tick()
 }
 
+// owning tells whether this node owns any block.
+func (n *Node) owning() bool {
+	for _, o := range n.owners {
+		if o.token != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // tick is what happens once a second.
 func (n *Node) tick() {
 	n.rt.After(tuning.DigestEvery, n.tick)
--- a/internal/intake/catalog.go
+++ b/internal/intake/catalog.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"log/slog"
 	"strings"
+	"time"
 
 	"lemonmoor/internal/engine"
 	"lemonmoor/internal/jobs"
@@ -63,6 +64,9 @@
 	return c
 }
 
+// Pace sets how long to rest between changes.
+func (c *Catalog) Pace(pause func() time.Duration) { c.mirror.Pause = pause }
+
 // Start begins to read the job records.
 func (c *Catalog) Start() { c.mirror.Start() }
 
--- a/internal/ledger/mirror.go
+++ b/internal/ledger/mirror.go
@@ -20,6 +20,9 @@
 	Reset func()
 	// Taken is called after every full reading and every change.
 	Taken func()
+	// Pause is how long to rest after changes before the watch is opened
+	// again; a copy that nothing is decided from can wait.
+	Pause func() time.Duration
 
 	rt     engine.Runtime
 	led    *Client
@@ -83,7 +86,19 @@
 		switch out {
 		case OK:
 			m.take(events, epoch)
-			m.follow(life, 0)
+			pause := time.Duration(0)
+			if m.Pause != nil && len(events) > 0 {
+				pause = m.Pause()
+			}
+			if pause == 0 {
+				m.follow(life, 0)
+				return
+			}
+			m.rt.After(pause, func() {
+				if life == m.life {
+					m.follow(life, 0)
+				}
+			})
 		case Gone:
 			m.read(0)
 		default:
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -55,6 +55,9 @@
 	StateBackoffMax = 1 * time.Second
 	// WatchWait is how long a watch stays open on the service's side.
 	WatchWait = 10 * time.Second
+	// PassivePause is how long a node that neither leads nor owns a block rests
+	// after changes before it watches on; its answers are checked anyway.
+	PassivePause = 500 * time.Millisecond
 	// CheckEvery is the least time between two batched freshness checks of
 	// one node; polls in between share a check.
 	CheckEvery = 150 * time.Millisecond
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -211,6 +211,9 @@
 	return s
 }
 
+// Pace sets how long to rest between changes.
+func (s *Store) Pace(pause func() time.Duration) { s.mirror.Pause = pause }
+
 // Start begins to read the records.
 func (s *Store) Start() { s.mirror.Start() }
 
