--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -56,6 +56,10 @@
 // Service tells whether the tasks run until the job is cancelled.
 func (d *Description) Service() bool { return d.Shape == "daemon" }
 
+// Gang tells whether all tasks must run at the same time. The protocol's text
+// does not describe such jobs; see docs/questions.md.
+func (d *Description) Gang() bool { return d.Shape == "gang" }
+
 // MaxTasks is the largest number of tasks of a job (PROTOCOL).
 const MaxTasks = 100000
 
@@ -135,7 +139,7 @@
 	if _, ok := priorities[d.Urgency]; !ok {
 		return nil, fmt.Errorf("field %q: unknown value %q", "urgency", d.Urgency)
 	}
-	if d.Shape != "array" && d.Shape != "daemon" {
+	if d.Shape != "array" && d.Shape != "daemon" && d.Shape != "gang" {
 		return nil, fmt.Errorf("field %q: unknown value %q", "shape", d.Shape)
 	}
 	if d.Tasks < 1 || d.Tasks > MaxTasks {
@@ -192,7 +196,7 @@
 		return errors.New("a task fits no allowed machine type")
 	}
 	n := 1.0
-	if d.Service() {
+	if d.Service() || d.Gang() {
 		n = float64(d.Tasks)
 	}
 	// A limit of 0 means none may be used: "The value 0 means none".
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -137,6 +137,10 @@
 				continue
 			}
 		}
+		if n := float64(p.left()); p.desc.Gang() && (u.cpus+n*p.desc.CPUs > u.cpusMax+1e-9 || u.cards+n*p.desc.Cards > u.cardsMax+1e-9) {
+			full[p.desc.Team] = true // a gang is handed out whole or not at all
+			continue
+		}
 		held := map[string]int{} // by zone
 		number := 0
 		for k, left := 0, p.left(); left > 0; left-- {
