--- /dev/null
+++ b/internal/agents/table.go
@@ -0,0 +1,635 @@
+package agents
+
+import (
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"time"
+
+	"lemonmoor/internal/engine"
+	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/settings"
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// Host is one machine.
+type Host struct {
+	ID    string
+	Addr  string
+	Zone  string
+	Spot  bool
+	Build string
+	Type  *jobs.MachineType
+
+	// Up: its worker has reported to this process.
+	Up          bool
+	Shift, Tick uint64
+	Token       uint64        // highest the worker has shown
+	Heard       time.Duration // its newest report
+	Known       time.Duration // when this process first knew of it
+	// LeaseFrom bounds from when the worker's lease last ran: no answer that
+	// renews it was given to a report received later.
+	LeaseFrom time.Duration
+	Notice    time.Duration // when the cloud takes it, 0: no notice
+	Draining  string        // why it gets no more tasks, "" if it does
+	Silent    bool          // its lease has run out unheard
+	Idle      time.Duration // since when it has had no tasks
+
+	Tasks map[*work.Task]bool // placed here
+	// Stray holds tasks that the worker lists and the records do not.
+	Stray  int
+	CPUs   float64 // taken by Tasks
+	Cards  float64
+	Memory float64
+
+	Refused time.Duration // no tasks before, after it said it is full
+	Failed  int           // tasks that failed here since one ran well
+	FailedJ map[string]bool
+	flying  bool // a direct order is under way
+	images  []cached
+}
+
+type cached struct {
+	name string
+	gb   float64
+}
+
+// Free is what new tasks may take.
+func (h *Host) Free() (cpus, cards, memory float64) {
+	if h.Type == nil || h.Stray > 0 {
+		return 0, 0, 0
+	}
+	return h.Type.CPUs - h.CPUs, h.Type.Cards - h.Cards, h.Type.MemoryGB - h.Memory
+}
+
+// Caches tells whether the machine has, or is fetching, an image. Reports do
+// not say; it follows from the tasks that were started there, the least
+// recently used image going first.
+func (h *Host) Caches(image string) bool {
+	return slices.ContainsFunc(h.images, func(c cached) bool { return c.name == image })
+}
+
+func (h *Host) use(image string, gb float64) {
+	h.images = slices.DeleteFunc(h.images, func(c cached) bool { return c.name == image })
+	h.images = append(h.images, cached{image, gb})
+	if h.Type == nil {
+		return
+	}
+	sum := 0.0
+	for i := len(h.images) - 1; i >= 0; i-- {
+		sum += h.images[i].gb
+		if sum > h.Type.CacheGB && i < len(h.images)-1 {
+			h.images = slices.Delete(h.images, 0, i+1)
+			return
+		}
+	}
+}
+
+// Office is what the table asks of the lease.
+type Office interface {
+	Token() uint64
+	Valid() bool
+	Renew()
+}
+
+// Book is what the table asks of the work records.
+type Book interface {
+	IsLoaded() bool
+	Job(id string) *work.Job
+	Jobs(func(*work.Job))
+	Changed(t *work.Task, urgent bool)
+	TaskDone(t *work.Task)
+	Drop(t *work.Task)
+}
+
+// Table holds all machines.
+type Table struct {
+	// Waiting is called for a task that has become free for another machine.
+	Waiting func(*work.Task)
+	// Type finds a machine type by its label.
+	Type func(label string) *jobs.MachineType
+	// HostUp is called for the first report of a machine.
+	HostUp func(*Host)
+
+	rt     engine.Runtime
+	office Office
+	book   Book
+	set    *settings.Settings
+	log    *slog.Logger
+	hosts  map[string]*Host
+	begun  time.Duration // this term
+	heard  time.Duration // the newest report of any machine
+	ready  map[*Host]bool
+	gone   map[string]bool // returned machines
+}
+
+// NewTable returns an empty table.
+func NewTable(rt engine.Runtime, office Office, book Book, set *settings.Settings, log *slog.Logger) *Table {
+	return &Table{rt: rt, office: office, book: book, set: set, log: log,
+		hosts: map[string]*Host{}, ready: map[*Host]bool{}, gone: map[string]bool{},
+		HostUp: func(*Host) {}}
+}
+
+// Begin starts a term: whatever the records place may be on its machine under
+// an earlier token, and any earlier owner may have answered reports until now
+// plus the hold.
+func (t *Table) Begin() {
+	t.begun = t.rt.Now()
+	t.heard = t.begun
+	for _, h := range t.hosts {
+		h.Tasks = map[*work.Task]bool{}
+		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray = 0, 0, 0, false, 0
+		h.LeaseFrom = t.begun + t.set.Hold()
+		h.Silent = false
+	}
+	clear(t.ready)
+	token := t.office.Token()
+	t.book.Jobs(func(j *work.Job) {
+		j.Running = 0
+		for _, c := range j.Chunks {
+			for _, k := range c.Tasks {
+				if k.State == work.Placed {
+					k.MinToken, k.Sent = token, true
+					t.occupy(t.host(k.Host), k)
+				}
+			}
+		}
+	})
+}
+
+// End forgets what only holds for a term.
+func (t *Table) End() {
+	for _, h := range t.hosts {
+		h.Tasks = map[*work.Task]bool{}
+		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray = 0, 0, 0, false, 0
+	}
+	clear(t.ready)
+}
+
+// host finds or makes a machine's entry.
+func (t *Table) host(id string) *Host {
+	h := t.hosts[id]
+	if h == nil {
+		now := t.rt.Now()
+		h = &Host{ID: id, Known: now, Idle: now, LeaseFrom: max(now, t.begun+t.set.Hold()),
+			Tasks: map[*work.Task]bool{}, FailedJ: map[string]bool{}}
+		t.hosts[id] = h
+	}
+	return h
+}
+
+// Learn notes what the cloud says of a machine.
+func (t *Table) Learn(id, addr, build, zone string, spot bool) *Host {
+	if t.gone[id] {
+		return nil
+	}
+	h := t.host(id)
+	if !h.Up {
+		h.Addr, h.Build, h.Zone, h.Spot = addr, build, zone, spot
+		h.Type = t.Type(build)
+	}
+	return h
+}
+
+// Get finds a machine.
+func (t *Table) Get(id string) *Host { return t.hosts[id] }
+
+// All returns the machines in the order of their names.
+func (t *Table) All() []*Host {
+	all := make([]*Host, 0, len(t.hosts))
+	for _, h := range t.hosts {
+		all = append(all, h)
+	}
+	slices.SortFunc(all, func(a, b *Host) int {
+		switch {
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		}
+		return 0
+	})
+	return all
+}
+
+// Heard is when any machine last reported.
+func (t *Table) Heard() time.Duration { return t.heard }
+
+// Open tells whether a machine may be given tasks now.
+func (t *Table) Open(h *Host) bool {
+	now := t.rt.Now()
+	suspect := time.Duration(float64(t.set.Report()) * tuning.SuspectReports)
+	return h.Up && !h.Silent && h.Draining == "" && h.Type != nil && h.Stray == 0 &&
+		h.Token >= t.office.Token() && now-h.Heard < suspect && now >= h.Refused
+}
+
+func (t *Table) occupy(h *Host, k *work.Task) {
+	h.Tasks[k] = true
+	h.CPUs += k.Job.Desc.CPUs
+	h.Cards += k.Job.Desc.Cards
+	h.Memory += k.Job.Desc.MemoryGB
+	h.use(k.Job.Desc.Image, k.Job.Desc.ImageGB)
+}
+
+func (t *Table) vacate(h *Host, k *work.Task) {
+	if !h.Tasks[k] {
+		return
+	}
+	delete(h.Tasks, k)
+	h.CPUs -= k.Job.Desc.CPUs
+	h.Cards -= k.Job.Desc.Cards
+	h.Memory -= k.Job.Desc.MemoryGB
+	if len(h.Tasks) == 0 {
+		h.CPUs, h.Cards, h.Memory = 0, 0, 0
+		h.Idle = t.rt.Now()
+	}
+	if k.Running {
+		k.Running = false
+		k.Job.Running--
+	}
+}
+
+// Place gives a waiting task to a machine. The launch leaves once the
+// placement is durable.
+func (t *Table) Place(k *work.Task, h *Host) {
+	k.State, k.Host = work.Placed, h.ID
+	k.Attempt++
+	k.Durable, k.Sent, k.Flying, k.Doubt, k.Seen, k.Running, k.Stopping = false, false, false, false, false, false, false
+	k.MinToken, k.Shift, k.Tick = t.office.Token(), 0, 0
+	t.occupy(h, k)
+	t.book.Changed(k, true)
+}
+
+// Launchable notes that a placement is durable.
+func (t *Table) Launchable(k *work.Task) {
+	if h := t.hosts[k.Host]; h != nil {
+		t.ready[h] = true
+	}
+}
+
+// proveGone ends a placement: the task is surely not on its machine.
+func (t *Table) proveGone(h *Host, k *work.Task) {
+	t.vacate(h, k)
+	k.State, k.Host = work.Waiting, ""
+	k.Durable, k.Sent, k.Flying, k.Doubt, k.Seen, k.Stopping = false, false, false, false, false, false
+	if k.Job.Cancelled {
+		t.book.Drop(k)
+		return
+	}
+	t.book.Changed(k, false)
+	t.Waiting(k)
+}
+
+// leaseEnd is when all tasks of a machine that stays silent are surely gone.
+func (t *Table) leaseEnd(h *Host) time.Duration {
+	lease := t.set.WorkerLease()
+	return h.LeaseFrom + lease + lease*tuning.DriftPerMille/1000 + tuning.GoneMargin
+}
+
+// Tick looks for machines whose lease has run out, for placements that can no
+// longer be launched, and for notices that come due.
+func (t *Table) Tick() {
+	if !t.book.IsLoaded() {
+		return
+	}
+	now := t.rt.Now()
+	for _, h := range t.hosts {
+		for k := range h.Tasks {
+			if k.Sent {
+				continue
+			}
+			// Never launched: free for another machine when this one does
+			// not take tasks any more.
+			if h.Draining != "" || k.Job.Cancelled || (h.Up && now-h.Heard > tuning.DeadAfter/2) || !h.Up {
+				t.proveGone(h, k)
+			}
+		}
+		if !h.Silent && now > t.leaseEnd(h) && len(h.Tasks) > 0 {
+			t.log.Info("worker lease has run out", "host", h.ID, "tasks", len(h.Tasks))
+			h.Silent = true
+			t.clear(h)
+		}
+	}
+}
+
+// clear proves all tasks of a machine gone.
+func (t *Table) clear(h *Host) {
+	for k := range h.Tasks {
+		t.proveGone(h, k)
+	}
+}
+
+// Returned notes that the cloud has taken a machine back at our request: it
+// and all that was on it are gone.
+func (t *Table) Returned(id string) {
+	t.gone[id] = true
+	h := t.hosts[id]
+	if h == nil {
+		return
+	}
+	t.clear(h)
+	delete(t.hosts, id)
+	delete(t.ready, h)
+}
+
+// Unreachable answers for a node that may not act for the controllers.
+var Unreachable = httpwire.ErrorBody("not the owner of this machine")
+
+// Report takes a worker's report and gives its answer.
+func (t *Table) Report(r *Report) (status int, body []byte) {
+	token := t.office.Token()
+	if token == 0 || r.Token > token || t.gone[r.Host] {
+		return 503, Unreachable
+	}
+	now := t.rt.Now()
+	h := t.host(r.Host)
+	if r.Shift < h.Shift || (r.Shift == h.Shift && r.Tick <= h.Tick && h.Up) {
+		// A report that was held back: its list is old, and nobody waits
+		// for its answer.
+		return 503, Unreachable
+	}
+	h.Heard, t.heard = now, now
+	if !h.Up || h.Build != r.Build || h.Addr != r.Addr {
+		first := !h.Up
+		h.Up, h.Addr, h.Build, h.Zone, h.Spot = true, r.Addr, r.Build, r.Zone, r.Spot
+		h.Type = t.Type(r.Build)
+		if first {
+			t.HostUp(h)
+		}
+	}
+	if h.Type == nil {
+		h.Type = t.Type(r.Build)
+	}
+	h.Silent = false
+	h.LeaseFrom = now
+	if !t.book.IsLoaded() {
+		h.Shift, h.Tick, h.Token = r.Shift, r.Tick, r.Token
+		return t.answer(token, nil)
+	}
+	orders := t.read(h, r, true)
+	return t.answer(token, orders)
+}
+
+func (t *Table) answer(token uint64, orders []Order) (int, []byte) {
+	if orders == nil {
+		orders = []Order{}
+	}
+	body, err := json.Marshal(Orders{Token: token, Orders: orders})
+	if err != nil {
+		return 503, Unreachable
+	}
+	return 200, body
+}
+
+// read compares a report with the records and returns the orders that follow.
+// beat: it is a report of the worker's own, not the answer to an order; only
+// those prove tasks gone and carry launches, since an order's answer may be
+// older than the worker's reading of our last answer.
+func (t *Table) read(h *Host, r *Report, beat bool) []Order {
+	later := r.Shift > h.Shift && h.Up && h.Shift > 0
+	h.Token = max(h.Token, r.Token)
+	if beat {
+		// Answers to orders do not count here: a report that left before
+		// such an answer may arrive after it, and is not a late one.
+		h.Shift, h.Tick = r.Shift, r.Tick
+	}
+	if r.Notice != nil {
+		h.Notice = t.rt.Now() + time.Duration(*r.Notice*float64(time.Second))
+		if h.Draining == "" {
+			h.Draining = "spot notice"
+			t.log.Info("spot notice", "host", h.ID, "seconds", *r.Notice)
+		}
+	}
+	acked := r.Token >= t.office.Token()
+	listed := make(map[*work.Task]bool, len(r.Tasks))
+	var orders []Order
+	h.Stray = 0
+	for i := range r.Tasks {
+		orders = t.listed(h, &r.Tasks[i], listed, acked, orders)
+	}
+	if beat {
+		for k := range h.Tasks {
+			if listed[k] || !k.Sent || k.Flying {
+				continue
+			}
+			switch {
+			case k.Shift > 0 && r.Shift > k.Shift, later && k.Seen:
+				// A later session: the worker killed all of the earlier one.
+				t.proveGone(h, k)
+			case r.Token >= k.MinToken && acked && !k.Doubt && (k.Shift == 0 || (r.Shift == k.Shift && r.Tick > k.Tick)):
+				t.proveGone(h, k)
+			case k.Doubt:
+				// The order may still be under way; a new token settles it.
+				t.log.Info("order in doubt, renewing the token", "host", h.ID, "task", k.Ref())
+				t.office.Renew()
+			}
+		}
+	}
+	if !acked {
+		return nil
+	}
+	for k := range h.Tasks {
+		if !listed[k] {
+			continue
+		}
+		switch {
+		case k.Job.Cancelled:
+			orders = append(orders, halt(k.Ref(), k.Attempt, 0))
+		case k.Stopping:
+			orders = append(orders, halt(k.Ref(), k.Attempt, k.WindDown))
+		}
+	}
+	if beat && t.office.Valid() && h.Draining == "" {
+		for k := range h.Tasks {
+			if k.Durable && !k.Sent && !k.Job.Cancelled && len(orders) < tuning.OrdersPerMessage {
+				k.Sent, k.Shift, k.Tick = true, r.Shift, r.Tick
+				orders = append(orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Attempt})
+			}
+		}
+	}
+	if len(orders) > tuning.OrdersPerMessage {
+		orders = orders[:tuning.OrdersPerMessage]
+	}
+	return orders
+}
+
+func halt(ref string, attempt uint64, windDown float64) Order {
+	return Order{Verb: "halt", Task: ref, Attempt: attempt, WindDown: &windDown}
+}
+
+// listed takes one task of a report.
+func (t *Table) listed(h *Host, l *Listed, seen map[*work.Task]bool, acked bool, orders []Order) []Order {
+	var k *work.Task
+	if id, index, ok := splitRef(l.Task); ok {
+		if j := t.book.Job(id); j != nil {
+			k = j.Task(index)
+		}
+	}
+	forget := Order{Verb: "forget", Task: l.Task, Attempt: l.Attempt}
+	if k == nil || k.State != work.Placed || k.Host != h.ID || k.Attempt != l.Attempt {
+		// Not what the records say: an attempt that is over, or never was.
+		if l.Phase != "ended" {
+			h.Stray++
+			return append(orders, halt(l.Task, l.Attempt, 0))
+		}
+		if k != nil && k.State == work.Done && !k.DoneDurable {
+			return orders // done goes into the record before the worker forgets
+		}
+		if !acked {
+			return orders
+		}
+		return append(orders, forget)
+	}
+	seen[k] = true
+	k.Seen, k.Sent = true, true
+	if k.Flying {
+		// The order's own answer is still to come and tells the rest.
+		return orders
+	}
+	k.Doubt = false
+	switch l.Phase {
+	case "running":
+		if !k.Running {
+			k.Running, k.Since = true, t.rt.Now()
+			k.Job.Running++
+		}
+		return orders
+	case "ended":
+	default:
+		return orders
+	}
+	switch l.Cause {
+	case "done":
+		h.Failed = 0
+		clear(h.FailedJ)
+		k.Job.Errors = 0
+		if k.Job.Desc.Service() {
+			t.proveGone(h, k)
+			return append(orders, forget)
+		}
+		t.vacate(h, k)
+		if k.Job.Cancelled {
+			k.State, k.Host = work.Waiting, ""
+			t.book.Drop(k)
+			return append(orders, forget)
+		}
+		t.book.TaskDone(k)
+		return orders
+	case "error":
+		t.failed(h, k)
+	case "full":
+		h.Refused = t.rt.Now() + tuning.RefusedPause
+		k.NotBefore = t.rt.Now() + tuning.RefusedPause/4
+	case "busy", "unknown":
+		k.NotBefore = t.rt.Now() + tuning.RefusedPause
+	}
+	t.proveGone(h, k)
+	if !acked {
+		return orders
+	}
+	return append(orders, forget)
+}
+
+// failed takes note of a failure: machines that fail whatever they start get
+// no more tasks, and jobs that fail everywhere are slowed down.
+func (t *Table) failed(h *Host, k *work.Task) {
+	h.Failed++
+	h.FailedJ[k.Job.Desc.ID] = true
+	k.Avoid = h.ID
+	t.log.Info("task failed", "host", h.ID, "task", k.Ref(), "in a row", h.Failed)
+	k.Job.Errors++
+	if k.Job.Errors >= 3 {
+		pause := min(tuning.ErrorPause<<min(k.Job.Errors-3, 6), tuning.ErrorPauseMax)
+		k.Job.NotBefore = t.rt.Now() + pause
+	}
+	if h.Failed >= tuning.SickErrors && (len(h.FailedJ) > 1 || k.Job.Errors < 2*h.Failed) && h.Draining == "" {
+		h.Draining = "fails its tasks"
+		t.log.Warn("machine quarantined", "host", h.ID, "failures", h.Failed)
+	}
+}
+
+// Settle sends direct orders for placements that have become durable.
+func (t *Table) Settle() {
+	if !t.book.IsLoaded() || !t.office.Valid() {
+		clear(t.ready)
+		return
+	}
+	for h := range t.ready {
+		if h.flying {
+			continue // looked at again when the answer is in
+		}
+		delete(t.ready, h)
+		if !h.Up || h.Token != t.office.Token() || h.Draining != "" || h.Silent {
+			continue
+		}
+		t.direct(h)
+	}
+}
+
+// direct sends the launches that wait for a machine, each in this one message
+// only.
+func (t *Table) direct(h *Host) {
+	token := t.office.Token()
+	msg := Orders{Token: token, Shift: h.Shift}
+	var carried []*work.Task
+	for k := range h.Tasks {
+		if k.Durable && !k.Sent && !k.Job.Cancelled && len(carried) < tuning.OrdersPerMessage {
+			carried = append(carried, k)
+			msg.Orders = append(msg.Orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Attempt})
+		}
+	}
+	if len(carried) == 0 {
+		return
+	}
+	body, err := json.Marshal(msg)
+	if err != nil {
+		t.log.Error("orders do not encode", "err", err)
+		return
+	}
+	attempts := make([]uint64, len(carried))
+	for i, k := range carried {
+		k.Sent, k.Flying, k.Shift, k.Tick = true, true, h.Shift, h.Tick
+		attempts[i] = k.Attempt
+	}
+	h.flying = true
+	begun := t.begun
+	t.rt.Call(h.Addr, httpwire.Call{Method: "POST", Target: "/orders", Body: body}, tuning.OrderTimeout,
+		func(ans httpwire.Answer, err error) {
+			if t.begun != begun || t.office.Token() != token || t.hosts[h.ID] != h {
+				return // another term has read the records anew
+			}
+			h.flying = false
+			t.ready[h] = true
+			mine := func(fn func(*work.Task)) {
+				for i, k := range carried {
+					if h.Tasks[k] && k.Attempt == attempts[i] && k.Flying {
+						k.Flying = false
+						fn(k)
+					}
+				}
+			}
+			var r *Report
+			if err == nil && (ans.Status == 200 || ans.Status == 409) {
+				if r, err = ParseReport(ans.Body); err == nil && r.Host != h.ID {
+					r = nil
+				}
+			}
+			switch {
+			case err == engine.ErrNotSent || (err == nil && ans.Status == 409):
+				mine(func(k *work.Task) { k.Sent, k.Shift, k.Tick = k.Seen, 0, 0 })
+			case err == nil && ans.Status == 200 && r != nil:
+				mine(func(k *work.Task) { k.Shift, k.Tick = r.Shift, r.Tick })
+				if r.Shift == h.Shift && r.Tick > h.Tick && r.Token <= token {
+					t.read(h, r, false)
+				}
+			default:
+				mine(func(k *work.Task) { k.Doubt = !k.Seen })
+			}
+			if err != nil || ans.Status != 200 {
+				// Not again at once: the next report carries the launches.
+				delete(t.ready, h)
+			}
+		})
+}
--- /dev/null
+++ b/internal/agents/wire.go
@@ -0,0 +1,76 @@
+// Package agents speaks with the workers: it takes their reports, knows what
+// is or may be on each machine, and gives orders under the office's token.
+package agents
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"lemonmoor/internal/jobs"
+)
+
+// Report is what a worker says of its machine.
+type Report struct {
+	Host   string   `json:"host"`
+	Addr   string   `json:"addr"`
+	Build  string   `json:"build"`
+	Zone   string   `json:"yard"`
+	Spot   bool     `json:"loaners"`
+	Shift  uint64   `json:"shift"`
+	Tick   uint64   `json:"tick"`
+	Token  uint64   `json:"baton"`
+	Notice *float64 `json:"warningS"`
+	Tasks  []Listed `json:"pieces"`
+}
+
+// Listed is a task in a report.
+type Listed struct {
+	Task    string `json:"piece"`
+	Attempt uint64 `json:"try"`
+	Phase   string `json:"phase"`
+	Cause   string `json:"cause,omitempty"`
+	Saved   bool   `json:"stored,omitempty"`
+}
+
+// Order is a command to a worker.
+type Order struct {
+	Verb     string   `json:"verb"`
+	Task     string   `json:"piece"`
+	Attempt  uint64   `json:"try"`
+	WindDown *float64 `json:"windDownS,omitempty"`
+}
+
+// Orders is the answer to a report, and, with a session, a direct message.
+type Orders struct {
+	Token  uint64  `json:"baton"`
+	Shift  uint64  `json:"shift,omitempty"`
+	Orders []Order `json:"orders"`
+}
+
+// ParseReport reads a report.
+func ParseReport(body []byte) (*Report, error) {
+	var r Report
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, fmt.Errorf("report: %w", err)
+	}
+	if r.Host == "" || r.Shift == 0 {
+		return nil, errors.New(`report: "host" or "shift" missing`)
+	}
+	return &r, nil
+}
+
+// splitRef reads a task's name.
+func splitRef(ref string) (job string, index int, ok bool) {
+	job, num, ok := strings.Cut(ref, "/")
+	if !ok || !jobs.ValidID(job) {
+		return "", 0, false
+	}
+	index, err := strconv.Atoi(num)
+	if err != nil || index < 0 || index >= jobs.MaxTasks {
+		return "", 0, false
+	}
+	return job, index, true
+}
--- /dev/null
+++ b/internal/engine/real.go
@@ -0,0 +1,65 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lemonmoor/internal/httpwire"
+)
+
+// Real is the Runtime of a running process.
+type Real struct {
+	loop   *Loop
+	client *httpwire.Client
+	start  time.Time
+}
+
+// NewReal returns a runtime that posts to loop.
+func NewReal(loop *Loop) *Real {
+	r := &Real{loop: loop, client: httpwire.NewClient(), start: time.Now()}
+	r.sweep()
+	return r
+}
+
+func (r *Real) sweep() {
+	time.AfterFunc(10*time.Second, func() {
+		r.client.Sweep()
+		r.sweep()
+	})
+}
+
+// Now reads the steady clock, from the start of the process.
+func (r *Real) Now() time.Duration { return time.Since(r.start) }
+
+// Wall reads the time of day.
+func (r *Real) Wall() time.Time { return time.Now() }
+
+// Rand returns a random number in [0,1).
+func (r *Real) Rand() float64 { return rand.Float64() }
+
+// After runs fn on the loop once d has passed.
+func (r *Real) After(d time.Duration, fn func()) {
+	if d <= 0 {
+		r.loop.Post(Decisions, fn)
+		return
+	}
+	time.AfterFunc(d, func() { r.loop.Post(Decisions, fn) })
+}
+
+// Call sends a request from a goroutine of its own; the answer comes back
+// through the loop.
+func (r *Real) Call(addr string, req httpwire.Call, timeout time.Duration, fn func(httpwire.Answer, error)) {
+	go func() {
+		ans, sent, err := r.client.Do(addr, req, timeout)
+		var a httpwire.Answer
+		switch {
+		case err == nil:
+			a = *ans
+		case sent:
+			err = ErrNoAnswer
+		default:
+			err = ErrNotSent
+		}
+		r.loop.Post(Reports, func() { fn(a, err) })
+	}()
+}
--- /dev/null
+++ b/internal/intake/catalog.go
@@ -0,0 +1,113 @@
+// Package intake serves users: submissions, polls and cancellations. It keeps
+// a copy of all job records, fed by a watch, and answers from it only what a
+// check has proven to be current.
+package intake
+
+import (
+	"encoding/json"
+	"log/slog"
+	"strings"
+
+	"lemonmoor/internal/engine"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/ledger"
+)
+
+// Prefix of all job records.
+const Prefix = "job/"
+
+// Final phases of a job; "" stands for any other.
+const (
+	Done      = "done"
+	Cancelled = "cancelled"
+)
+
+// Record is a job as it is stored.
+type Record struct {
+	Phase string            `json:"phase,omitempty"`
+	At    int64             `json:"at"` // ms since the epoch, of the accepting node
+	Job   *jobs.Description `json:"job,omitempty"`
+	Tasks int               `json:"n,omitempty"` // of a done job, whose description is dropped
+}
+
+// Entry is a job record in memory.
+type Entry struct {
+	ID    string
+	Stamp uint64
+	Record
+}
+
+// Catalog holds all jobs.
+type Catalog struct {
+	// Changed is called for every change of a job.
+	Changed func(*Entry)
+
+	entries map[string]*Entry
+	mirror  *ledger.Mirror
+	log     *slog.Logger
+}
+
+// NewCatalog returns an empty catalog.
+func NewCatalog(rt engine.Runtime, led *ledger.Client, log *slog.Logger) *Catalog {
+	c := &Catalog{entries: map[string]*Entry{}, log: log, Changed: func(*Entry) {}}
+	c.mirror = ledger.NewMirror(rt, led, Prefix)
+	c.mirror.Apply = c.apply
+	return c
+}
+
+// Start begins to read the job records.
+func (c *Catalog) Start() { c.mirror.Start() }
+
+// Ready tells whether all job records have been read.
+func (c *Catalog) Ready() bool { return c.mirror.IsReady() }
+
+// Check calls fn when the catalog is proven to be current.
+func (c *Catalog) Check(fn func(error)) { c.mirror.Check(fn) }
+
+// Get finds a job.
+func (c *Catalog) Get(id string) *Entry { return c.entries[id] }
+
+// All calls fn for every job.
+func (c *Catalog) All(fn func(*Entry)) {
+	for _, e := range c.entries {
+		fn(e)
+	}
+}
+
+func (c *Catalog) apply(key string, value json.RawMessage, stamp uint64) {
+	id := strings.TrimPrefix(key, Prefix)
+	if value == nil {
+		c.log.Error("job record vanished", "job", id)
+		return
+	}
+	old := c.entries[id]
+	if old != nil && old.Stamp >= stamp {
+		return
+	}
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		c.log.Error("job record does not parse", "job", id, "err", err)
+		return
+	}
+	if old != nil && old.Phase != "" && old.Phase != r.Phase {
+		// A final phase never changes; this guards what users were told
+		// against a record that contradicts it.
+		c.log.Error("job record went back", "job", id, "was", old.Phase, "is", r.Phase)
+		return
+	}
+	if r.Phase == Done {
+		r.Job = nil
+	}
+	e := old
+	if e == nil {
+		e = &Entry{ID: id}
+		c.entries[id] = e
+	}
+	e.Stamp, e.Record = stamp, r
+	c.Changed(e)
+}
+
+// Learn applies what this process has committed itself, ahead of the watch.
+func (c *Catalog) Learn(id string, value json.RawMessage, stamp uint64) {
+	c.apply(Prefix+id, value, stamp)
+}
--- /dev/null
+++ b/internal/intake/desk.go
@@ -0,0 +1,314 @@
+package intake
+
+import (
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"lemonmoor/internal/engine"
+	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/ledger"
+	"lemonmoor/internal/settings"
+	"lemonmoor/internal/tuning"
+)
+
+// Desk answers users.
+type Desk struct {
+	// Progress tells how many tasks of a job are done and running, for
+	// display.
+	Progress func(id string) (done, running int)
+	// Types are the machine types, nil while unknown.
+	Types func() []jobs.MachineType
+
+	rt      engine.Runtime
+	led     *ledger.Client
+	cat     *Catalog
+	set     *settings.Settings
+	log     *slog.Logger
+	queue   []*creation
+	flying  bool
+	pending map[string]*creation
+}
+
+// creation is a submission on its way to the state service.
+type creation struct {
+	id      string
+	value   json.RawMessage
+	expires time.Duration
+	tries   int
+	replies []httpwire.Reply
+}
+
+// NewDesk returns a desk.
+func NewDesk(rt engine.Runtime, led *ledger.Client, cat *Catalog, set *settings.Settings, log *slog.Logger) *Desk {
+	return &Desk{rt: rt, led: led, cat: cat, set: set, log: log, pending: map[string]*creation{},
+		Progress: func(string) (int, int) { return 0, 0 }}
+}
+
+func refuse(reply httpwire.Reply, reason string) {
+	reply(503, httpwire.ErrorBody(reason), tuning.RetryAfter)
+}
+
+// status is a job as its user sees it.
+type status struct {
+	ID      string `json:"id"`
+	Phase   string `json:"phase"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+func (d *Desk) tell(reply httpwire.Reply, e *Entry) {
+	s := status{ID: e.ID, Phase: e.Phase}
+	switch e.Phase {
+	case Done:
+		s.Done = e.Tasks
+	case Cancelled:
+	default:
+		s.Done, s.Running = d.Progress(e.ID)
+		s.Phase = "pending"
+		if s.Running > 0 {
+			s.Phase = "running"
+		}
+	}
+	body, err := json.Marshal(s)
+	if err != nil {
+		reply(500, httpwire.ErrorBody("answer does not encode"), 0)
+		return
+	}
+	reply(200, body, 0)
+}
+
+// Submit serves POST /work.
+func (d *Desk) Submit(body []byte, reply httpwire.Reply) {
+	job, err := jobs.Parse(body)
+	if err != nil {
+		reply(400, httpwire.ErrorBody(err.Error()), 0)
+		return
+	}
+	if !d.cat.Ready() {
+		refuse(reply, "starting: jobs not read yet")
+		return
+	}
+	if d.cat.Get(job.ID) != nil {
+		d.Poll(job.ID, reply)
+		return
+	}
+	types := d.Types()
+	if types == nil {
+		refuse(reply, "starting: machine types not known yet")
+		return
+	}
+	if why := jobs.Feasible(job, types, d.set.Deployment.Teams); why != nil {
+		// The job may have been accepted elsewhere when it was feasible.
+		d.cat.Check(func(err error) {
+			switch e := d.cat.Get(job.ID); {
+			case e != nil && err == nil:
+				d.tell(reply, e)
+			case err != nil:
+				refuse(reply, "state service not reached")
+			default:
+				reply(422, httpwire.ErrorBody(why.Error()), 0)
+			}
+		})
+		return
+	}
+	if c := d.pending[job.ID]; c != nil {
+		c.replies = append(c.replies, reply)
+		return
+	}
+	value, err := json.Marshal(Record{At: d.rt.Wall().UnixMilli(), Job: job})
+	if err != nil || float64(len(value)) > d.set.Deployment.State.ValueKB*1024 {
+		reply(400, httpwire.ErrorBody("description too large"), 0)
+		return
+	}
+	c := &creation{id: job.ID, value: value, expires: d.rt.Now() + tuning.CreateTimeout, replies: []httpwire.Reply{reply}}
+	d.pending[job.ID] = c
+	d.queue = append(d.queue, c)
+	d.flush()
+}
+
+// flush commits waiting submissions, several at a time.
+func (d *Desk) flush() {
+	if d.flying || len(d.queue) == 0 {
+		return
+	}
+	var batch []*creation
+	var guards []ledger.Guard
+	var sets []ledger.Change
+	size := 0
+	for len(d.queue) > 0 && len(batch) < d.set.Deployment.State.TxnOps && size < tuning.CommitBytes {
+		c := d.queue[0]
+		d.queue = d.queue[1:]
+		if d.rt.Now() >= c.expires {
+			d.finish(c, func(r httpwire.Reply) { refuse(r, "state service not reached") })
+			continue
+		}
+		batch = append(batch, c)
+		guards = append(guards, ledger.Guard{Key: Prefix + c.id})
+		sets = append(sets, ledger.Change{Set: Prefix + c.id, Value: c.value})
+		size += len(c.value) + 100
+	}
+	if len(batch) == 0 {
+		return
+	}
+	d.flying = true
+	d.led.Commit(guards, sets, func(r ledger.Result) {
+		d.flying = false
+		switch r.Outcome {
+		case ledger.OK:
+			for _, c := range batch {
+				d.cat.Learn(c.id, c.value, r.Epoch)
+				d.finish(c, func(reply httpwire.Reply) {
+					body, err := json.Marshal(map[string]string{"id": c.id, "phase": "pending"})
+					if err != nil {
+						body = []byte("{}")
+					}
+					reply(201, body, 0)
+				})
+			}
+		case ledger.Conflict:
+			for _, c := range batch {
+				if slices.Contains(r.Failed, Prefix+c.id) {
+					d.finish(c, func(reply httpwire.Reply) { d.Poll(c.id, reply) })
+				} else {
+					d.queue = append(d.queue, c)
+				}
+			}
+		case ledger.Refused:
+			most := 0
+			for _, c := range batch {
+				c.tries++
+				most = max(most, c.tries)
+			}
+			d.queue = append(batch, d.queue...)
+			d.flying = true
+			d.rt.After(d.led.Backoff(most-1), func() {
+				d.flying = false
+				d.flush()
+			})
+			return
+		case ledger.Invalid:
+			for _, c := range batch {
+				d.finish(c, func(reply httpwire.Reply) { refuse(reply, "state service refused the record") })
+			}
+		default:
+			// It may have been carried out or may yet be; the same
+			// submission repeated finds out.
+			for _, c := range batch {
+				d.finish(c, func(reply httpwire.Reply) { refuse(reply, "state service did not answer") })
+			}
+		}
+		d.flush()
+	})
+}
+
+func (d *Desk) finish(c *creation, fn func(httpwire.Reply)) {
+	delete(d.pending, c.id)
+	for _, reply := range c.replies {
+		fn(reply)
+	}
+}
+
+// Poll serves GET /work/{id}.
+func (d *Desk) Poll(id string, reply httpwire.Reply) {
+	d.cat.Check(func(err error) {
+		if err != nil {
+			refuse(reply, "state service not reached")
+			return
+		}
+		e := d.cat.Get(id)
+		if e == nil {
+			// The catalog holds every job record and was just proven to be
+			// current.
+			reply(404, httpwire.ErrorBody("no such job"), 0)
+			return
+		}
+		d.tell(reply, e)
+	})
+}
+
+// Cancel serves POST /work/{id}/cancel.
+func (d *Desk) Cancel(id string, reply httpwire.Reply) { d.cancel(id, reply, 0) }
+
+func (d *Desk) cancel(id string, reply httpwire.Reply, try int) {
+	if try > 6 {
+		refuse(reply, "state service not reached")
+		return
+	}
+	d.cat.Check(func(err error) {
+		if err != nil {
+			refuse(reply, "state service not reached")
+			return
+		}
+		e := d.cat.Get(id)
+		if e == nil {
+			reply(404, httpwire.ErrorBody("no such job"), 0)
+			return
+		}
+		if e.Phase != "" {
+			d.tell(reply, e)
+			return
+		}
+		r := e.Record
+		r.Phase = Cancelled
+		value, err := json.Marshal(r)
+		if err != nil {
+			reply(500, httpwire.ErrorBody("record does not encode"), 0)
+			return
+		}
+		d.led.Commit([]ledger.Guard{{Key: Prefix + id, Stamp: e.Stamp}}, []ledger.Change{{Set: Prefix + id, Value: value}},
+			func(res ledger.Result) {
+				switch res.Outcome {
+				case ledger.OK:
+					d.cat.Learn(id, value, res.Epoch)
+					d.tell(reply, d.cat.Get(id))
+				case ledger.Conflict:
+					d.cancel(id, reply, try+1)
+				case ledger.Refused:
+					d.rt.After(d.led.Backoff(try), func() { d.cancel(id, reply, try+1) })
+				default:
+					refuse(reply, "state service did not answer")
+				}
+			})
+	})
+}
+
+// Route sorts a user's request; it reports false for paths that are not the
+// users'.
+func (d *Desk) Route(req *httpwire.Request, reply httpwire.Reply) bool {
+	if req.Path == "/work" {
+		if req.Method != "POST" {
+			reply(405, httpwire.ErrorBody("method not allowed"), 0)
+			return true
+		}
+		d.Submit(req.Body, reply)
+		return true
+	}
+	rest, ok := strings.CutPrefix(req.Path, "/work/")
+	if !ok {
+		return false
+	}
+	id, verb, has := strings.Cut(rest, "/")
+	switch {
+	case !has && req.Method == "GET":
+		if !jobs.ValidID(id) {
+			reply(404, httpwire.ErrorBody("no such job"), 0)
+			return true
+		}
+		d.Poll(id, reply)
+	case has && verb == "cancel" && req.Method == "POST":
+		if !jobs.ValidID(id) {
+			reply(404, httpwire.ErrorBody("no such job"), 0)
+			return true
+		}
+		d.Cancel(id, reply)
+	case !has || verb == "cancel":
+		reply(405, httpwire.ErrorBody("method not allowed"), 0)
+	default:
+		reply(404, httpwire.ErrorBody("no such path"), 0)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,203 @@
+// Package jobs is the vocabulary that all slices share: what a job asks for
+// and which machines can give it. The wire's own names stay in the tags here.
+package jobs
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+
+	"lemonmoor/internal/settings"
+)
+
+// Priority orders jobs; the higher goes first.
+type Priority int
+
+// The priorities, lowest first.
+const (
+	Low Priority = iota
+	Normal
+	High
+	Production
+)
+
+var priorities = map[string]Priority{"low": Low, "standard": Normal, "urgent": High, "critical": Production}
+
+// Description is a job as its user submitted it. It is stored in this form.
+type Description struct {
+	ID        string   `json:"id"`
+	Class     string   `json:"lane"`
+	Team      string   `json:"crew"`
+	Shape     string   `json:"shape"`
+	Urgency   string   `json:"urgency"`
+	Tasks     int      `json:"pieces"`
+	CPUs      float64  `json:"cpus"`
+	Cards     float64  `json:"cards"`
+	MemoryGB  float64  `json:"memoryGb"`
+	Image     string   `json:"kit"`
+	ImageGB   float64  `json:"pullGb"`
+	Builds    []string `json:"builds,omitempty"`
+	Zone      string   `json:"yard,omitempty"`
+	OneZone   bool     `json:"samePlace,omitempty"`
+	Spread    bool     `json:"spread,omitempty"`
+	Spot      bool     `json:"loaners,omitempty"`
+	EstimateS float64  `json:"expectS"`
+	SaveEvery float64  `json:"snapshotS,omitempty"`
+	SaveS     float64  `json:"flushS,omitempty"`
+	DeadlineS *float64 `json:"dueS,omitempty"`
+}
+
+// Priority of the job.
+func (d *Description) Priority() Priority { return priorities[d.Urgency] }
+
+// Service tells whether the tasks run until the job is cancelled.
+func (d *Description) Service() bool { return d.Shape == "daemon" }
+
+// MaxTasks is the largest number of tasks of a job (PROTOCOL).
+const MaxTasks = 100000
+
+var idForm = regexp.MustCompile(`^wk-[0-9]{1,18}$`)
+
+// ValidID tells whether a string has the form of a job id.
+func ValidID(id string) bool { return idForm.MatchString(id) }
+
+// wire is a submission with every field optional, to tell missing from zero.
+type wire struct {
+	ID        *string   `json:"id"`
+	Class     *string   `json:"lane"`
+	Team      *string   `json:"crew"`
+	Shape     *string   `json:"shape"`
+	Urgency   *string   `json:"urgency"`
+	Tasks     *int      `json:"pieces"`
+	CPUs      *float64  `json:"cpus"`
+	Cards     *float64  `json:"cards"`
+	MemoryGB  *float64  `json:"memoryGb"`
+	Image     *string   `json:"kit"`
+	ImageGB   *float64  `json:"pullGb"`
+	Builds    *[]string `json:"builds"`
+	Zone      *string   `json:"yard"`
+	OneZone   *bool     `json:"samePlace"`
+	Spread    *bool     `json:"spread"`
+	Spot      *bool     `json:"loaners"`
+	EstimateS *float64  `json:"expectS"`
+	SaveEvery *float64  `json:"snapshotS"`
+	SaveS     *float64  `json:"flushS"`
+	DeadlineS *float64  `json:"dueS"`
+}
+
+// Parse reads a submission. Fields that may be null may also be missing.
+func Parse(body []byte) (*Description, error) {
+	var w wire
+	if err := json.Unmarshal(body, &w); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return nil, fmt.Errorf("field %q: want %s, not %s", te.Field, te.Type, te.Value)
+		}
+		return nil, fmt.Errorf("not a JSON object: %w", err)
+	}
+	for _, f := range []struct {
+		name    string
+		missing bool
+	}{
+		{"id", w.ID == nil}, {"lane", w.Class == nil}, {"crew", w.Team == nil}, {"shape", w.Shape == nil},
+		{"urgency", w.Urgency == nil}, {"pieces", w.Tasks == nil}, {"cpus", w.CPUs == nil},
+		{"cards", w.Cards == nil}, {"memoryGb", w.MemoryGB == nil}, {"kit", w.Image == nil},
+		{"pullGb", w.ImageGB == nil}, {"samePlace", w.OneZone == nil}, {"spread", w.Spread == nil},
+		{"loaners", w.Spot == nil}, {"expectS", w.EstimateS == nil}, {"snapshotS", w.SaveEvery == nil},
+		{"flushS", w.SaveS == nil},
+	} {
+		if f.missing {
+			return nil, fmt.Errorf("field %q: missing", f.name)
+		}
+	}
+	d := &Description{ID: *w.ID, Class: *w.Class, Team: *w.Team, Shape: *w.Shape, Urgency: *w.Urgency,
+		Tasks: *w.Tasks, CPUs: *w.CPUs, Cards: *w.Cards, MemoryGB: *w.MemoryGB, Image: *w.Image,
+		ImageGB: *w.ImageGB, OneZone: *w.OneZone, Spread: *w.Spread, Spot: *w.Spot,
+		EstimateS: *w.EstimateS, SaveEvery: *w.SaveEvery, SaveS: *w.SaveS, DeadlineS: w.DeadlineS}
+	if w.Builds != nil {
+		if len(*w.Builds) == 0 {
+			return nil, errors.New(`field "builds": empty`)
+		}
+		d.Builds = *w.Builds
+	}
+	if w.Zone != nil {
+		if *w.Zone == "" {
+			return nil, errors.New(`field "yard": empty`)
+		}
+		d.Zone = *w.Zone
+	}
+	if !ValidID(d.ID) {
+		return nil, errors.New(`field "id": not of the form wk-000412`)
+	}
+	if _, ok := priorities[d.Urgency]; !ok {
+		return nil, fmt.Errorf("field %q: unknown value %q", "urgency", d.Urgency)
+	}
+	if d.Shape != "array" && d.Shape != "daemon" {
+		return nil, fmt.Errorf("field %q: unknown value %q", "shape", d.Shape)
+	}
+	if d.Tasks < 1 || d.Tasks > MaxTasks {
+		return nil, fmt.Errorf("field %q: outside 1 to %d", "pieces", MaxTasks)
+	}
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{{"cpus", d.CPUs}, {"cards", d.Cards}, {"memoryGb", d.MemoryGB}, {"pullGb", d.ImageGB},
+		{"expectS", d.EstimateS}, {"snapshotS", d.SaveEvery}, {"flushS", d.SaveS}} {
+		if f.value < 0 || math.IsNaN(f.value) || f.value > 1e12 {
+			return nil, fmt.Errorf("field %q: negative or too large", f.name)
+		}
+	}
+	if d.DeadlineS != nil && *d.DeadlineS < 0 {
+		return nil, errors.New(`field "dueS": negative`)
+	}
+	for _, f := range []struct{ name, value string }{{"lane", d.Class}, {"crew", d.Team}, {"kit", d.Image}} {
+		if f.value == "" || len(f.value) > 200 {
+			return nil, fmt.Errorf("field %q: empty or too long", f.name)
+		}
+	}
+	return d, nil
+}
+
+// MachineType is what the cloud tells of a kind of machine.
+type MachineType struct {
+	Label     string   `json:"label"`
+	CPUs      float64  `json:"cpus"`
+	Cards     float64  `json:"cards"`
+	MemoryGB  float64  `json:"memoryGb"`
+	CacheGB   float64  `json:"cacheGb"`
+	PullRate  float64  `json:"pullGbPerS"`
+	Price     float64  `json:"price"`
+	SpotPrice float64  `json:"spotPrice"`
+	BootS     float64  `json:"startupS"`
+	Zones     []string `json:"yards"`
+}
+
+// Runs tells whether one task of the job fits an empty machine of the type.
+func (t *MachineType) Runs(d *Description) bool {
+	return (d.Builds == nil || slices.Contains(d.Builds, t.Label)) &&
+		(d.Zone == "" || slices.Contains(t.Zones, d.Zone)) &&
+		d.CPUs <= t.CPUs && d.Cards <= t.Cards && d.MemoryGB <= t.MemoryGB
+}
+
+// Feasible says why a job can never run, or nil.
+func Feasible(d *Description, types []MachineType, teams []settings.Team) error {
+	i := slices.IndexFunc(teams, func(t settings.Team) bool { return t.Name == d.Team })
+	if i < 0 {
+		return fmt.Errorf("unknown team %q", d.Team)
+	}
+	if !slices.ContainsFunc(types, func(t MachineType) bool { return t.Runs(d) }) {
+		return errors.New("a task fits no allowed machine type")
+	}
+	n := 1.0
+	if d.Service() {
+		n = float64(d.Tasks)
+	}
+	// A limit of 0 means none may be used: "The value 0 means none".
+	if d.CPUs*n > teams[i].CPUsMax+1e-9 || d.Cards*n > teams[i].GPUsMax+1e-9 {
+		return errors.New("needs more than the team's limit")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ledger/client.go
@@ -0,0 +1,249 @@
+// Package ledger speaks to the state service: guarded commits, listings,
+// watches, and the leases by which controllers hold their offices.
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/url"
+	"strconv"
+	"time"
+
+	"lemonmoor/internal/engine"
+	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/tuning"
+)
+
+// Outcome is what is known of a request to the state service.
+type Outcome int
+
+const (
+	// OK: carried out.
+	OK Outcome = iota
+	// Conflict: a guard failed, nothing was changed.
+	Conflict
+	// Refused: surely not carried out, may be sent again.
+	Refused
+	// Unknown: no answer; it may have been carried out or may yet be.
+	Unknown
+	// Gone: the lease or the watched history no longer exists.
+	Gone
+	// Invalid: the service calls the request malformed.
+	Invalid
+)
+
+// Row is one key with its value.
+type Row struct {
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"v"`
+	Stamp uint64          `json:"stamp"`
+}
+
+// Guard demands that a key has a version; 0: that it does not exist.
+type Guard struct {
+	Key   string `json:"key"`
+	Stamp uint64 `json:"stamp"`
+}
+
+// Change is one change of a commit: a set or a removal.
+type Change struct {
+	Set    string          `json:"set,omitempty"`
+	Value  json.RawMessage `json:"v,omitempty"`
+	Permit uint64          `json:"permit,omitempty"`
+	Remove string          `json:"remove,omitempty"`
+}
+
+// Result of a commit.
+type Result struct {
+	Outcome Outcome
+	Epoch   uint64
+	Failed  []string
+}
+
+// Client sends requests to the state service.
+type Client struct {
+	rt   engine.Runtime
+	addr string
+	log  *slog.Logger
+	// LastAnswer is when the service last answered anything but a refusal.
+	LastAnswer time.Duration
+	Answered   bool
+}
+
+// New returns a client of the state service at addr.
+func New(rt engine.Runtime, addr string, log *slog.Logger) *Client {
+	return &Client{rt: rt, addr: addr, log: log}
+}
+
+// call sends one request and sorts the ways it can end.
+func (c *Client) call(method, target string, body any, timeout time.Duration, fn func(Outcome, []byte)) {
+	var raw []byte
+	if body != nil {
+		var err error
+		if raw, err = json.Marshal(body); err != nil {
+			c.log.Error("state request does not encode", "target", target, "err", err)
+			fn(Invalid, nil)
+			return
+		}
+	}
+	c.rt.Call(c.addr, httpwire.Call{Method: method, Target: target, Body: raw}, timeout,
+		func(ans httpwire.Answer, err error) {
+			switch {
+			case err == engine.ErrNotSent:
+				fn(Refused, nil)
+				return
+			case err != nil:
+				c.log.Debug("state service silent", "target", target, "err", err)
+				fn(Unknown, nil)
+				return
+			}
+			out := Invalid
+			switch ans.Status {
+			case 200, 201, 204:
+				out = OK
+			case 409:
+				out = Conflict
+			case 429, 503:
+				c.log.Debug("state service refuses", "target", target, "status", ans.Status)
+				fn(Refused, ans.Body)
+				return
+			case 404, 410:
+				out = Gone
+			case 400:
+				out = Invalid
+				c.log.Warn("state service finds fault", "target", target, "body", string(ans.Body))
+			default:
+				// An answer outside the protocol proves nothing.
+				out = Unknown
+			}
+			c.LastAnswer, c.Answered = c.rt.Now(), true
+			fn(out, ans.Body)
+		})
+}
+
+// Commit applies changes if all guards hold.
+func (c *Client) Commit(guards []Guard, apply []Change, fn func(Result)) {
+	if guards == nil {
+		guards = []Guard{}
+	}
+	body := struct {
+		Guards []Guard  `json:"guards"`
+		Apply  []Change `json:"apply,omitempty"`
+	}{guards, apply}
+	c.call("POST", "/commit", body, tuning.StateTimeout, func(out Outcome, raw []byte) {
+		var reply struct {
+			Epoch  uint64   `json:"epoch"`
+			Failed []string `json:"failed"`
+		}
+		if out == OK || out == Conflict {
+			if err := json.Unmarshal(raw, &reply); err != nil || reply.Epoch == 0 {
+				out = Unknown
+			}
+		}
+		fn(Result{out, reply.Epoch, reply.Failed})
+	})
+}
+
+// List reads all rows under a prefix, page by page. The epoch is that of the
+// first page: later changes may or may not be in the rows.
+func (c *Client) List(prefix string, fn func(rows []Row, epoch uint64, out Outcome)) {
+	var all []Row
+	var epoch uint64
+	var page func(since string)
+	page = func(since string) {
+		target := "/keys?under=" + url.QueryEscape(prefix) + "&limit=" + strconv.Itoa(tuning.ListPage)
+		if since != "" {
+			target += "&since=" + url.QueryEscape(since)
+		}
+		c.call("GET", target, nil, tuning.StateTimeout, func(out Outcome, raw []byte) {
+			if out != OK {
+				fn(nil, 0, out)
+				return
+			}
+			var reply struct {
+				Rows    []Row  `json:"rows"`
+				HasNext bool   `json:"hasNext"`
+				Epoch   uint64 `json:"epoch"`
+			}
+			if err := json.Unmarshal(raw, &reply); err != nil {
+				fn(nil, 0, Unknown)
+				return
+			}
+			if since == "" {
+				epoch = reply.Epoch
+			}
+			all = append(all, reply.Rows...)
+			if reply.HasNext && len(reply.Rows) > 0 {
+				page(reply.Rows[len(reply.Rows)-1].Key)
+				return
+			}
+			fn(all, epoch, OK)
+		})
+	}
+	page("")
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Set    string          `json:"set"`
+	Value  json.RawMessage `json:"v"`
+	Remove string          `json:"remove"`
+	Stamp  uint64          `json:"stamp"`
+}
+
+// Watch asks for the changes under a prefix after an epoch and waits for the
+// first of them up to wait.
+func (c *Client) Watch(prefix string, since uint64, wait time.Duration, fn func(events []Event, epoch uint64, out Outcome)) {
+	target := fmt.Sprintf("/watch?under=%s&since=%d&waitMs=%d", url.QueryEscape(prefix), since, wait.Milliseconds())
+	c.call("GET", target, nil, wait+tuning.StateTimeout, func(out Outcome, raw []byte) {
+		if out != OK {
+			fn(nil, 0, out)
+			return
+		}
+		var reply struct {
+			Epoch uint64  `json:"epoch"`
+			Log   []Event `json:"log"`
+		}
+		if err := json.Unmarshal(raw, &reply); err != nil || reply.Epoch < since {
+			fn(nil, 0, Unknown)
+			return
+		}
+		fn(reply.Log, reply.Epoch, OK)
+	})
+}
+
+// Grant asks for a new lease.
+func (c *Client) Grant(ttl time.Duration, fn func(permit uint64, out Outcome)) {
+	body := map[string]int64{"ttlMs": ttl.Milliseconds()}
+	c.call("POST", "/grants", body, tuning.StateTimeout, func(out Outcome, raw []byte) {
+		var reply struct {
+			Permit uint64 `json:"permit"`
+		}
+		if out == OK {
+			if err := json.Unmarshal(raw, &reply); err != nil || reply.Permit == 0 {
+				out = Unknown
+			}
+		}
+		fn(reply.Permit, out)
+	})
+}
+
+// Touch renews a lease.
+func (c *Client) Touch(permit uint64, fn func(Outcome)) {
+	c.call("POST", fmt.Sprintf("/grants/%d/touch", permit), nil, tuning.StateTimeout,
+		func(out Outcome, _ []byte) { fn(out) })
+}
+
+// Drop ends a lease at once.
+func (c *Client) Drop(permit uint64, fn func(Outcome)) {
+	c.call("DELETE", fmt.Sprintf("/grants/%d", permit), nil, tuning.StateTimeout,
+		func(out Outcome, _ []byte) { fn(out) })
+}
+
+// Backoff is the pause before try number n (from 0), with jitter.
+func (c *Client) Backoff(n int) time.Duration {
+	d := tuning.StateBackoff << min(n, 5)
+	d = min(d, tuning.StateBackoffMax)
+	return time.Duration(float64(d) * (0.5 + c.rt.Rand()))
+}
--- /dev/null
+++ b/internal/ledger/mirror.go
@@ -0,0 +1,172 @@
+package ledger
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"lemonmoor/internal/engine"
+	"lemonmoor/internal/tuning"
+)
+
+// ErrNotProven says that the mirror could not be shown to be current.
+var ErrNotProven = errors.New("state not proven current")
+
+// Mirror keeps a copy of all rows under a prefix, fed by a watch. Apply gets
+// every row and change in order; a nil value is a removal. Reset is called
+// before the rows are read anew.
+type Mirror struct {
+	Apply func(key string, value json.RawMessage, stamp uint64)
+	Reset func()
+	Ready func() // after every full reading
+
+	rt     engine.Runtime
+	led    *Client
+	prefix string
+	epoch  uint64
+	ready  bool
+	life   int // grows with every full reading; late answers of old ones are dropped
+
+	waiting   []func(error)
+	checking  bool
+	planned   bool
+	lastCheck time.Duration
+	checked   bool
+}
+
+// NewMirror returns a mirror of the rows under prefix.
+func NewMirror(rt engine.Runtime, led *Client, prefix string) *Mirror {
+	return &Mirror{rt: rt, led: led, prefix: prefix}
+}
+
+// IsReady tells whether all rows have been read once.
+func (m *Mirror) IsReady() bool { return m.ready }
+
+// Start reads the rows and follows their changes from then on.
+func (m *Mirror) Start() { m.read(0) }
+
+func (m *Mirror) read(try int) {
+	m.life++
+	life := m.life
+	m.led.List(m.prefix, func(rows []Row, epoch uint64, out Outcome) {
+		if life != m.life {
+			return
+		}
+		if out != OK {
+			m.rt.After(m.led.Backoff(try), func() {
+				if life == m.life {
+					m.read(try + 1)
+				}
+			})
+			return
+		}
+		if m.Reset != nil {
+			m.Reset()
+		}
+		for _, r := range rows {
+			m.Apply(r.Key, r.Value, r.Stamp)
+		}
+		m.epoch, m.ready = epoch, true
+		if m.Ready != nil {
+			m.Ready()
+		}
+		m.follow(life, 0)
+	})
+}
+
+func (m *Mirror) follow(life, try int) {
+	m.led.Watch(m.prefix, m.epoch, tuning.WatchWait, func(events []Event, epoch uint64, out Outcome) {
+		if life != m.life {
+			return
+		}
+		switch out {
+		case OK:
+			m.take(events, epoch)
+			m.follow(life, 0)
+		case Gone:
+			m.read(0)
+		default:
+			m.rt.After(m.led.Backoff(try), func() {
+				if life == m.life {
+					m.follow(life, try+1)
+				}
+			})
+		}
+	})
+}
+
+// take applies the changes up to an epoch. The long watch and the checks
+// overlap; what the mirror has reached already is skipped.
+func (m *Mirror) take(events []Event, epoch uint64) {
+	if epoch <= m.epoch {
+		return
+	}
+	for _, e := range events {
+		if e.Stamp <= m.epoch {
+			continue
+		}
+		if e.Remove != "" {
+			m.Apply(e.Remove, nil, e.Stamp)
+		} else {
+			m.Apply(e.Set, e.Value, e.Stamp)
+		}
+	}
+	m.epoch = epoch
+}
+
+// Check calls fn once the mirror is proven to hold everything that was
+// committed before the call, or with ErrNotProven. Calls share requests.
+func (m *Mirror) Check(fn func(error)) {
+	if !m.ready {
+		fn(ErrNotProven)
+		return
+	}
+	m.waiting = append(m.waiting, fn)
+	m.plan()
+}
+
+func (m *Mirror) plan() {
+	if m.checking || m.planned || len(m.waiting) == 0 {
+		return
+	}
+	pause := time.Duration(0)
+	if m.checked {
+		pause = max(0, m.lastCheck+tuning.CheckEvery-m.rt.Now())
+	}
+	if pause == 0 {
+		m.check()
+		return
+	}
+	m.planned = true
+	m.rt.After(pause, func() {
+		m.planned = false
+		m.check()
+	})
+}
+
+func (m *Mirror) check() {
+	if m.checking {
+		return
+	}
+	waiting := m.waiting
+	m.waiting = nil
+	m.checking, m.checked, m.lastCheck = true, true, m.rt.Now()
+	life := m.life
+	m.led.Watch(m.prefix, m.epoch, 0, func(events []Event, epoch uint64, out Outcome) {
+		m.checking = false
+		var err error
+		switch {
+		case out == OK && life == m.life:
+			m.take(events, epoch)
+		case out == Gone && life == m.life:
+			m.read(0)
+			err = ErrNotProven
+		default:
+			err = ErrNotProven
+		}
+		for _, fn := range waiting {
+			fn(err)
+		}
+		m.plan()
+	})
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,292 @@
+// Package settings reads the platform's settings file (JSON) and the
+// operators' own (HCL).
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsimple"
+
+	"lemonmoor/internal/tuning"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Node     string `json:"node"`
+	Area     string `json:"area"`
+	Endpoint string `json:"endpoint"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// Objective repeats one of the users' aims.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+	Times   float64 `json:"times"`
+}
+
+// Settings is the platform's file.
+type Settings struct {
+	Node     string `json:"node"`
+	Area     string `json:"area"`
+	ServeOn  string `json:"serve_on"`
+	PeerBind string `json:"peer_bind"`
+	Seeds    []Peer `json:"seeds"`
+	External struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"external"`
+	Deployment struct {
+		InitialSize int         `json:"initial_size"`
+		Zones       []string    `json:"zones"`
+		Teams       []Team      `json:"teams"`
+		Objectives  []Objective `json:"objectives"`
+		Workers     struct {
+			ReportS float64 `json:"report_s"`
+			LeaseS  float64 `json:"lease_s"`
+			CancelS float64 `json:"cancel_s"`
+		} `json:"workers"`
+		State struct {
+			RPS      float64 `json:"rps"`
+			WriteRPS float64 `json:"write_rps"`
+			ValueKB  float64 `json:"value_kb"`
+			TxnOps   int     `json:"txn_ops"`
+		} `json:"state"`
+		Cloud struct {
+			RPS      float64 `json:"rps"`
+			ListLagS float64 `json:"list_lag_s"`
+		} `json:"cloud"`
+		Quota struct {
+			CoreShare float64 `json:"core_share"`
+			MemMB     float64 `json:"mem_mb"`
+			Sockets   int     `json:"sockets"`
+		} `json:"quota"`
+		SkewMS float64 `json:"skew_ms"`
+	} `json:"deployment"`
+
+	// Operator holds what the operators set themselves.
+	Operator Operator `json:"-"`
+}
+
+// Operator is the operators' own settings. Every one has a default.
+type Operator struct {
+	// WaitBoundS is the wait in the extra queue after which a task goes
+	// first, in seconds.
+	WaitBoundS *float64 `hcl:"wait_bound_s,optional"`
+	// IdleKeepS is how long a machine without tasks is kept, in seconds.
+	IdleKeepS *float64 `hcl:"idle_keep_s,optional"`
+	// SpareCPUs is how many free processors are kept ready for urgent work.
+	SpareCPUs *float64 `hcl:"spare_cpus,optional"`
+}
+
+// Load reads the platform's file and, if hclPath is not empty, the
+// operators'.
+func Load(path, hclPath string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if hclPath != "" {
+		src, err := os.ReadFile(hclPath)
+		if err != nil {
+			return nil, fmt.Errorf("read operators' settings: %w", err)
+		}
+		if s.Operator, err = ParseOperator(hclPath, src); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// Parse reads the platform's settings; unknown fields are ignored.
+func Parse(raw []byte) (*Settings, error) {
+	var s Settings
+	if err := json.Unmarshal(raw, &s); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return nil, fmt.Errorf("settings: field %q: want %s, not %s", te.Field, te.Type, te.Value)
+		}
+		return nil, fmt.Errorf("settings: not valid JSON: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() error {
+	field := func(name, problem string) error { return fmt.Errorf("field %q: %s", name, problem) }
+	if s.Node == "" {
+		return field("node", "missing")
+	}
+	for name, addr := range map[string]string{
+		"serve_on": s.ServeOn, "peer_bind": s.PeerBind,
+		"external.cloud": s.External.Cloud, "external.state": s.External.State,
+	} {
+		if addr == "" {
+			return field(name, "missing")
+		}
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return field(name, "not an address of the form host:port: "+addr)
+		}
+	}
+	seen := map[string]bool{s.Node: true}
+	for i, p := range s.Seeds {
+		name := fmt.Sprintf("seeds[%d]", i)
+		if p.Node == "" {
+			return field(name+".node", "missing")
+		}
+		if seen[p.Node] {
+			return field(name+".node", "named twice: "+p.Node)
+		}
+		seen[p.Node] = true
+		if _, _, err := net.SplitHostPort(p.Endpoint); err != nil {
+			return field(name+".endpoint", "not an address of the form host:port: "+p.Endpoint)
+		}
+	}
+	d := &s.Deployment
+	if len(d.Teams) == 0 {
+		return field("deployment.teams", "missing or empty")
+	}
+	teams := map[string]bool{}
+	for i, t := range d.Teams {
+		name := fmt.Sprintf("deployment.teams[%d]", i)
+		switch {
+		case t.Name == "":
+			return field(name+".name", "missing")
+		case teams[t.Name]:
+			return field(name+".name", "named twice: "+t.Name)
+		case t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0:
+			return field(name, "negative amount")
+		case t.CPUsMax > 0 && t.CPUs > t.CPUsMax:
+			return field(name+".cpus", "above cpus_max")
+		case t.GPUsMax > 0 && t.GPUs > t.GPUsMax:
+			return field(name+".gpus", "above gpus_max")
+		}
+		teams[t.Name] = true
+	}
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{
+		{"deployment.workers.report_s", d.Workers.ReportS},
+		{"deployment.workers.lease_s", d.Workers.LeaseS},
+		{"deployment.workers.cancel_s", d.Workers.CancelS},
+		{"deployment.state.rps", d.State.RPS},
+		{"deployment.state.write_rps", d.State.WriteRPS},
+		{"deployment.state.value_kb", d.State.ValueKB},
+		{"deployment.state.txn_ops", float64(d.State.TxnOps)},
+		{"deployment.cloud.rps", d.Cloud.RPS},
+		{"deployment.quota.core_share", d.Quota.CoreShare},
+		{"deployment.quota.mem_mb", d.Quota.MemMB},
+	} {
+		if f.value <= 0 || math.IsInf(f.value, 0) {
+			return field(f.name, "missing or not above 0")
+		}
+	}
+	if d.State.TxnOps < 3 {
+		return field("deployment.state.txn_ops", "below 3, which a takeover needs")
+	}
+	if d.Workers.ReportS >= d.Workers.LeaseS {
+		return field("deployment.workers.report_s", "not below lease_s")
+	}
+	if d.Workers.LeaseS >= d.Workers.CancelS {
+		return field("deployment.workers.cancel_s", "not above lease_s: a task of a cut-off machine would outlive it")
+	}
+	return nil
+}
+
+// ParseOperator reads the operators' settings; an unknown or out-of-range one
+// is refused with file, line and reason.
+func ParseOperator(name string, src []byte) (Operator, error) {
+	var op Operator
+	if err := hclsimple.Decode(name, src, nil, &op); err != nil {
+		var diags hcl.Diagnostics
+		if errors.As(err, &diags) && len(diags) > 0 && diags[0].Subject != nil {
+			d := diags[0]
+			return op, fmt.Errorf("%s:%d: %s: %s", name, d.Subject.Start.Line, d.Summary, d.Detail)
+		}
+		return op, fmt.Errorf("%s: %w", name, err)
+	}
+	for _, f := range []struct {
+		key      string
+		value    *float64
+		min, max float64
+	}{
+		{"wait_bound_s", op.WaitBoundS, 0, 86400},
+		{"idle_keep_s", op.IdleKeepS, 0, 86400},
+		{"spare_cpus", op.SpareCPUs, 0, 100000},
+	} {
+		if f.value != nil && (*f.value < f.min || *f.value > f.max || math.IsNaN(*f.value)) {
+			return op, fmt.Errorf("%s:%d: %s: %g is outside %g to %g", name, lineOf(src, f.key), f.key, *f.value, f.min, f.max)
+		}
+	}
+	return op, nil
+}
+
+// lineOf finds the line that sets a key.
+func lineOf(src []byte, key string) int {
+	line := 1
+	for i := 0; i+len(key) <= len(src); i++ {
+		if src[i] == '\n' {
+			line++
+		}
+		if string(src[i:i+len(key)]) == key && (i == 0 || src[i-1] == '\n' || src[i-1] == ' ' || src[i-1] == '\t') {
+			return line
+		}
+	}
+	return 1
+}
+
+// seconds turns a decimal number of seconds into a duration.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Report is the time between two reports of a worker.
+func (s *Settings) Report() time.Duration { return seconds(s.Deployment.Workers.ReportS) }
+
+// WorkerLease is how long a worker goes on without an answer.
+func (s *Settings) WorkerLease() time.Duration { return seconds(s.Deployment.Workers.LeaseS) }
+
+// Hold is how long an owner past its lease may answer reports: lease, hold
+// and the workers' lease together stay below the cancellation limit.
+func (s *Settings) Hold() time.Duration {
+	room := seconds(s.Deployment.Workers.CancelS) - tuning.LeaseTTL - s.WorkerLease() - tuning.CancelSlack
+	return max(0, min(room, tuning.HoldMax))
+}
+
+// WaitBound is the longest wait in the extra queue before a task goes first.
+func (s *Settings) WaitBound() time.Duration {
+	if v := s.Operator.WaitBoundS; v != nil {
+		return seconds(*v)
+	}
+	return tuning.WaitBound
+}
+
+// IdleKeep is how long a machine without tasks is kept.
+func (s *Settings) IdleKeep() time.Duration {
+	if v := s.Operator.IdleKeepS; v != nil {
+		return seconds(*v)
+	}
+	return tuning.IdleKeep
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,183 @@
+// Package tuning holds every constant of lemonmoor in one place, each with
+// its unit and the reason for its value. Nothing here describes a particular
+// deployment: what differs between deployments comes from the settings.
+package tuning
+
+import "time"
+
+// Leases and takeover.
+const (
+	// LeaseTTL is how long the lead and block leases last without renewal.
+	// The design starts at 10 s.
+	LeaseTTL = 10 * time.Second
+	// LeaseTouch is the time between renewals: three tries fit into a lease.
+	LeaseTouch = 3 * time.Second
+	// LeaseRetry is the pause before a failed renewal is tried again.
+	LeaseRetry = 500 * time.Millisecond
+	// DriftPerMille bounds the drift between two steady clocks (0.05 %), in
+	// thousandths, doubled because both ends drift.
+	DriftPerMille = 1
+	// LeaseMargin is taken off a lease's validity for scheduling delays of
+	// this process and the coarse timers of small machines.
+	LeaseMargin = 300 * time.Millisecond
+	// HoldMax bounds how long an owner past its lease goes on answering
+	// reports, so that a short outage of the state service ends no task.
+	HoldMax = 12 * time.Second
+	// CancelSlack is kept free between the end of the last possible task of a
+	// cut-off owner and the cancellation limit.
+	CancelSlack = 6 * time.Second
+	// GoneMargin is added to a worker's lease before its tasks count as gone.
+	GoneMargin = 1500 * time.Millisecond
+	// AbstainAfterStepDown is how long a node that gave up its lease, because
+	// no worker reached it, leaves the lease to others.
+	AbstainAfterStepDown = 20 * time.Second
+	// DeafAfter is how long an owner with machines hears no report at all
+	// before it gives up its lease.
+	DeafAfter = 9 * time.Second
+	// ElectionJitter spreads the nodes' tries for a free lease.
+	ElectionJitter = 150 * time.Millisecond
+)
+
+// Requests to the state service.
+const (
+	// StateTimeout is when a state request counts as unanswered. Answers
+	// usually take 10 ms, now and then a few hundred.
+	StateTimeout = 1800 * time.Millisecond
+	// StateBackoff is the first pause after a refused request; it doubles.
+	StateBackoff = 100 * time.Millisecond
+	// StateBackoffMax is the longest such pause.
+	StateBackoffMax = 1 * time.Second
+	// WatchWait is how long a watch stays open on the service's side.
+	WatchWait = 10 * time.Second
+	// CheckEvery is the least time between two batched freshness checks of
+	// one node; polls in between share a check.
+	CheckEvery = 150 * time.Millisecond
+	// ListPage is the number of rows asked for in one listing.
+	ListPage = 1000
+	// WriteShare is the part of the state service's write budget that an
+	// owner's records may use; the rest is for submissions and cancellations.
+	WriteShare = 0.6
+	// DoneDelay is how long a completed task may wait to share a commit with
+	// others; only the machine's memory of it waits.
+	DoneDelay = 700 * time.Millisecond
+	// CommitBytes keeps a transaction below the service's 64 KiB.
+	CommitBytes = 48 * 1024
+	// GuardsPerOp is how many conditions a transaction may hold per change.
+	GuardsPerOp = 4
+)
+
+// Work records.
+const (
+	// ChunkTasks is the number of tasks in one record. A placed task takes
+	// about 40 bytes, so a record stays below half of the smallest value
+	// limit seen (8 KiB).
+	ChunkTasks = 64
+	// Block is the only block at present: the whole cluster.
+	Block = "0"
+)
+
+// Users.
+const (
+	// HeadLimit is the most bytes of a request's head.
+	HeadLimit = 8 * 1024
+	// BodyLimit is the most bytes of a request's body (PROTOCOL).
+	BodyLimit = 64 * 1024
+	// SlowRequest is when a request that arrives piecemeal is given up.
+	SlowRequest = 10 * time.Second
+	// IdleConnection is when a connection without requests is closed.
+	IdleConnection = 120 * time.Second
+	// RetryAfter is what refused users are told to wait, in seconds.
+	RetryAfter = 1
+	// QueueLimit is the number of waiting user requests from which on new
+	// ones are refused at once.
+	QueueLimit = 256
+	// CreateTimeout bounds the tries to make a submission durable; users wait
+	// 5 s for an answer.
+	CreateTimeout = 3500 * time.Millisecond
+	// UnhealthyAfter is how long a node may go without any answer from the
+	// state service before it calls itself unhealthy, if a peer has one.
+	UnhealthyAfter = 5 * time.Second
+	// FetchLimit is the number of job descriptions a node serves at once.
+	FetchLimit = 64
+)
+
+// Workers.
+const (
+	// OrderTimeout is when a direct order counts as unanswered.
+	OrderTimeout = 2500 * time.Millisecond
+	// OrdersPerMessage keeps an answer's line below 64 KiB.
+	OrdersPerMessage = 200
+	// SuspectReports is how many report intervals of silence keep new tasks
+	// off a machine.
+	SuspectReports = 2.2
+	// DeadAfter is how long a machine is silent, while most others report,
+	// before it is returned. A worker that loses one answer is back in 7 s.
+	DeadAfter = 11 * time.Second
+	// RefusedPause keeps a task from a machine that refused it.
+	RefusedPause = 2 * time.Second
+	// ErrorPause is the first pause of a job that fails on machines that
+	// other jobs do not fail on; it doubles up to ErrorPauseMax.
+	ErrorPause = 2 * time.Second
+	// ErrorPauseMax is the longest such pause.
+	ErrorPauseMax = 60 * time.Second
+	// SickErrors is the number of failures in a row, of different jobs or
+	// not, after which a machine gets no more tasks.
+	SickErrors = 2
+	// NoticeReserve is how long before the cloud takes a machine it is
+	// returned, so that its tasks are known to be gone.
+	NoticeReserve = 2 * time.Second
+)
+
+// Placement.
+const (
+	// WaitBound is the wait in the extra queue after which a task goes first
+	// on the next free machine. The design starts at 30 s.
+	WaitBound = 30 * time.Second
+	// RoundPause is the least time between two placement rounds.
+	RoundPause = 25 * time.Millisecond
+)
+
+// Cloud.
+const (
+	// CloudTimeout is when a cloud request counts as unanswered.
+	CloudTimeout = 5 * time.Second
+	// CloudShare is the part of the cloud's call budget that the leader uses.
+	CloudShare = 0.7
+	// FleetRound is the time between two looks at what to rent and return.
+	FleetRound = 1 * time.Second
+	// ListEvery is the time between two machine lists.
+	ListEvery = 5 * time.Second
+	// TypesEvery is the time between two looks at the prices.
+	TypesEvery = 60 * time.Second
+	// CapacityPause is how long a refused kind of machine is left alone.
+	CapacityPause = 12 * time.Second
+	// IdleKeep is how long a machine without tasks is kept.
+	IdleKeep = 40 * time.Second
+	// BootFactor times the nominal boot time, plus BootSlack, is when a
+	// machine that never reported is deleted.
+	BootFactor = 3.0
+	// BootSlack see BootFactor.
+	BootSlack = 30 * time.Second
+	// HireMax is the most machines of one request (PROTOCOL: 50).
+	HireMax = 50
+)
+
+// Peers.
+const (
+	// GossipEvery is the time between two words to the other controllers.
+	GossipEvery = 1 * time.Second
+	// PeerTimeout is when a peer's answer is no longer waited for; a worker
+	// gives up after 4 s.
+	PeerTimeout = 2500 * time.Millisecond
+	// PeerRetry is the pause before a lost stream is opened again.
+	PeerRetry = 1 * time.Second
+)
+
+// Process.
+const (
+	// MemoryShare is the part of the memory quota that the Go runtime may
+	// use before it collects harder; the rest is code, stacks and the kernel.
+	MemoryShare = 0.6
+	// GCPercent trades memory for processor time below that limit.
+	GCPercent = 200
+)
