--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"lemonmoor/internal/engine"
@@ -125,6 +126,7 @@
 	set    *settings.Settings
 	log    *slog.Logger
 	hosts  map[string]*Host
+	list   []*Host       // in the order of their names
 	begun  time.Duration // this term
 	ready  map[*Host]bool
 	gone   map[string]bool // returned machines
@@ -178,6 +180,8 @@
 		h = &Host{ID: id, Known: now, Idle: now, LeaseFrom: max(now, t.begun+t.set.Hold()),
 			Tasks: map[*work.Task]bool{}, FailedJ: map[string]bool{}}
 		t.hosts[id] = h
+		i, _ := slices.BinarySearchFunc(t.list, id, func(h *Host, id string) int { return strings.Compare(h.ID, id) })
+		t.list = slices.Insert(t.list, i, h)
 	}
 	return h
 }
@@ -185,23 +189,9 @@
 // Get finds a machine.
 func (t *Table) Get(id string) *Host { return t.hosts[id] }
 
-// All returns the machines in the order of their names.
-func (t *Table) All() []*Host {
-	all := make([]*Host, 0, len(t.hosts))
-	for _, h := range t.hosts {
-		all = append(all, h)
-	}
-	slices.SortFunc(all, func(a, b *Host) int {
-		switch {
-		case a.ID < b.ID:
-			return -1
-		case a.ID > b.ID:
-			return 1
-		}
-		return 0
-	})
-	return all
-}
+// All returns the machines in the order of their names. The list is the table's
+// own.
+func (t *Table) All() []*Host { return t.list }
 
 // Open tells whether a machine may be given tasks now.
 func (t *Table) Open(h *Host) bool {
@@ -324,6 +314,7 @@
 	}
 	t.clear(h)
 	delete(t.hosts, id)
+	t.list = slices.DeleteFunc(t.list, func(o *Host) bool { return o == h })
 	delete(t.ready, h)
 }
 
--- /dev/null
+++ b/internal/block/pages.go
@@ -0,0 +1,89 @@
+package block
+
+import (
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// pages knows which page of the block's log tells of which task, so that a page
+// of which nothing is true any more can be written over.
+type pages struct {
+	list  []page
+	order []int // pages in use, in the order in which they were written
+}
+
+type page struct {
+	live  int          // tasks of which it is the newest word
+	total int          // tasks it told of when it was written
+	tasks []*work.Task // those
+	used  bool
+}
+
+// put notes that a page is the newest word on a task.
+func (p *pages) put(n int, t *work.Task) {
+	if n < 0 {
+		return
+	}
+	for n >= len(p.list) {
+		p.list = append(p.list, page{})
+	}
+	g := &p.list[n]
+	if !g.used {
+		g.used, g.total, g.tasks = true, 0, g.tasks[:0]
+		p.order = append(p.order, n)
+	}
+	g.live++
+	g.total++
+	g.tasks = append(g.tasks, t)
+}
+
+// take notes that a page's word on a task counts no more.
+func (p *pages) take(n int) {
+	if n >= 0 {
+		p.list[n].live--
+	}
+}
+
+// free finds pages to write: those that nothing is true of, or new ones.
+func (p *pages) free(number int) []int {
+	order := p.order[:0]
+	for _, n := range p.order {
+		if g := &p.list[n]; g.live > 0 {
+			order = append(order, n)
+		} else {
+			g.used = false
+			clear(g.tasks)
+			g.tasks = g.tasks[:0]
+		}
+	}
+	p.order = order
+	var list []int
+	for n := 0; len(list) < number; n++ {
+		if n >= len(p.list) || !p.list[n].used {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// oldest returns the tasks that an old page, most of which is superseded, still
+// tells of; none while the log is short.
+func (p *pages) oldest() []*work.Task {
+	if len(p.order) < tuning.LogPages {
+		return nil
+	}
+	for _, n := range p.order {
+		g := &p.list[n]
+		if g.live == 0 || g.live*2 > g.total {
+			continue
+		}
+		tasks := make([]*work.Task, 0, g.live)
+		for _, t := range g.tasks {
+			if t.Page == n {
+				tasks = append(tasks, t)
+			}
+		}
+		return tasks
+	}
+	return nil
+}
--- a/internal/block/shelf.go
+++ b/internal/block/shelf.go
@@ -5,7 +5,6 @@
 
 import (
 	"log/slog"
-	"slices"
 	"time"
 
 	"lemonmoor/internal/engine"
@@ -41,7 +40,10 @@
 	loaded  bool
 	jobs    map[string]*work.Job
 	chunks  map[string]*work.Chunk
-	dirty   []*work.Chunk
+	dirty   []*work.Task
+	urgent  bool          // something waits for a commit of those
+	since   time.Duration // when the first of them changed
+	pages   pages
 	flying  bool
 	tries   int
 	planned bool
@@ -62,6 +64,7 @@
 	s.term++
 	s.token, s.loaded, s.flying, s.planned = 0, false, false, false
 	s.jobs, s.chunks, s.dirty = map[string]*work.Job{}, map[string]*work.Chunk{}, nil
+	s.pages = pages{}
 }
 
 // IsLoaded tells whether the records have been read under the present token.
@@ -132,6 +135,9 @@
 	}
 	c := work.Load(j, r)
 	s.chunks[c.Key] = c
+	for _, t := range c.Tasks {
+		s.pages.put(t.Page, t)
+	}
 	return c
 }
 
@@ -149,41 +155,36 @@
 	}
 }
 
-// RecordChanged takes note of records that the leader made or removed. Of the
-// others this process is the only writer.
-func (s *Shelf) RecordChanged(old, now *work.Record) {
-	if !s.loaded {
+// RecordAdded takes in what the leader has handed out. If the watch of the jobs
+// is behind that of the records, the job is not known yet; JobChanged comes back
+// to the record then.
+func (s *Shelf) RecordAdded(r *work.Record) {
+	if !s.loaded || r.Block != s.block || s.chunks[r.Key] != nil {
 		return
 	}
-	switch {
-	case old == nil && now.Block == s.block && s.chunks[now.Key] == nil:
-		// If the watch of the jobs is behind that of the records, the job is
-		// not known yet; JobChanged comes back to the record then.
-		if c := s.add(now); c != nil {
-			s.offer(c)
-		}
-	case now == nil && old.Block == s.block:
-		s.remove(old.Key)
+	if c := s.add(r); c != nil {
+		s.offer(c)
 	}
 }
 
-// remove forgets a record that the leader has removed. Its tasks are done,
-// or their job is cancelled and none was on a machine.
-func (s *Shelf) remove(key string) {
-	c := s.chunks[key]
-	if c == nil {
+// RecordRemoved forgets a record that the leader has removed: its tasks are
+// done, or given back.
+func (s *Shelf) RecordRemoved(r *work.Record) {
+	c := s.chunks[r.Key]
+	if !s.loaded || c == nil {
 		return
 	}
-	delete(s.chunks, key)
-	delete(c.Job.Chunks, key)
-	s.dirty = slices.DeleteFunc(s.dirty, func(d *work.Chunk) bool { return d == c })
+	delete(s.chunks, c.Key)
+	delete(c.Job.Chunks, c.Key)
 	for _, t := range c.Tasks {
 		if t.State == work.Placed {
+			s.log.Error("a record was removed while a task may run", "task", t.Ref())
 			s.Discard(t)
 		}
 		if t.State != work.Done {
 			t.State = work.Dropped
 		}
+		s.pages.take(t.Page)
 		if c.Job.Tasks[t.Index] == t {
 			delete(c.Job.Tasks, t.Index)
 		}
@@ -218,10 +219,13 @@
 	}
 }
 
-// Drop ends a task of a cancelled job that is on no machine.
+// Drop ends a task of a cancelled job that is on no machine. The leader removes
+// a record only when its owner has written all of it off: removed on the
+// leader's own judgement, a placement committed meanwhile would be lost.
 func (s *Shelf) Drop(t *work.Task) {
 	t.State = work.Dropped
-	s.Changed(t, true) // without its placement the leader can end the job
+	t.Chunk.Open--
+	s.Changed(t, t.Chunk.Open == 0)
 }
 
 // Recall gives up to n waiting tasks of a job back to the leader.
@@ -234,6 +238,7 @@
 		for i := len(c.Tasks) - 1; i >= 0 && n > 0; i-- {
 			if t := c.Tasks[i]; t.State == work.Waiting {
 				t.State = work.Returned
+				c.Open--
 				delete(j.Tasks, t.Index)
 				s.Changed(t, true)
 				n--
@@ -252,28 +257,27 @@
 	}
 }
 
-// Changed marks a task's record for a commit; urgent if something waits for
-// it.
+// Changed marks a task for a commit; urgent if something waits for it.
 func (s *Shelf) Changed(t *work.Task, urgent bool) {
-	c := t.Chunk
-	if s.chunks[c.Key] != c {
+	if s.chunks[t.Chunk.Key] != t.Chunk {
 		return
 	}
-	if !c.Dirty {
-		c.Dirty, c.Urgent, c.Since = true, false, s.rt.Now()
-		s.dirty = append(s.dirty, c)
+	if len(s.dirty) == 0 {
+		s.since = s.rt.Now()
+	}
+	if !t.Dirty {
+		t.Dirty = true
+		s.dirty = append(s.dirty, t)
 	}
-	c.Urgent = c.Urgent || urgent
+	s.urgent = s.urgent || urgent
 }
 
-// TaskDone notes a completed task. When nothing else of its record runs, the
+// TaskDone notes a completed task. When nothing else of its record is open, the
 // end of the job may wait for it.
 func (s *Shelf) TaskDone(t *work.Task) {
 	t.State = work.Done
-	last := !slices.ContainsFunc(t.Chunk.Tasks, func(o *work.Task) bool {
-		return o.State == work.Placed || o.State == work.Waiting
-	})
-	s.Changed(t, last)
+	t.Chunk.Open--
+	s.Changed(t, t.Chunk.Open == 0)
 }
 
 // later plans another flush.
@@ -293,107 +297,106 @@
 
 // rate is this block's part of the write budget, in changes per second.
 func (s *Shelf) rate() float64 {
-	return s.set.Deployment.State.WriteRPS * tuning.WriteShare
+	return s.set.Deployment.State.WriteRPS * tuning.WriteShare / float64(s.set.Blocks())
 }
 
-// Flush commits changed records: those that something waits for at once, the
-// others after a while. One commit is under way at a time.
+// Flush commits changed tasks: at once if something waits for one, else after a
+// while. One commit is under way at a time, and takes what has gathered.
 func (s *Shelf) Flush() {
 	if s.flying || !s.loaded || !s.office.Valid() || len(s.dirty) == 0 {
 		return
 	}
 	now := s.rt.Now()
-	s.budget = min(s.rate(), s.budget+s.rate()*(now-s.filled).Seconds())
+	s.budget = min(max(1, s.rate()), s.budget+s.rate()*(now-s.filled).Seconds())
 	s.filled = now
-	if s.budget < 1 {
-		s.later(time.Duration(float64(time.Second) / s.rate()))
+	if wait := s.since + tuning.DoneDelay - now; !s.urgent && wait > 0 {
+		s.later(wait)
 		return
 	}
-	most := min(s.set.Deployment.State.TxnOps, int(s.budget))
-	var batch []*work.Chunk
-	soonest := tuning.DoneDelay
-	for _, urgent := range []bool{true, false} {
-		for _, c := range s.dirty {
-			if c.Urgent != urgent || len(batch) == most {
-				continue
-			}
-			if wait := c.Since + tuning.DoneDelay - now; !urgent && wait > 0 && len(batch) == 0 {
-				soonest = min(soonest, wait)
-				continue
-			}
-			batch = append(batch, c)
-		}
-	}
-	if len(batch) == 0 {
-		s.later(soonest)
+	if s.budget < 1 {
+		s.later(time.Duration((1 - s.budget) / s.rate() * float64(time.Second)))
 		return
 	}
-	s.commit(batch)
+	s.commit(min(s.set.Deployment.State.TxnOps, int(s.budget), tuning.CommitBytes/s.pageBytes()))
+}
+
+// pageBytes is the most that a page of the log may hold.
+func (s *Shelf) pageBytes() int {
+	return min(tuning.PageBytes, int(s.set.Deployment.State.ValueKB*1024*tuning.ValueShare))
 }
 
-// saved is a task as it was when its record was encoded.
+// saved is a task as it was when its page was written.
 type saved struct {
 	task    *work.Task
 	state   work.State
 	attempt uint64
+	page    int
 }
 
-func (s *Shelf) commit(batch []*work.Chunk) {
-	guards := []ledger.Guard{{Key: ledger.BlockKey(s.block), Stamp: s.token}}
-	var apply []ledger.Change
-	var tasks []saved
-	size := 0
-	for i, c := range batch {
-		value, err := c.Snapshot().Encode()
-		if err != nil {
-			s.log.Error("work record does not encode", "key", c.Key, "err", err)
-			return
+func (s *Shelf) commit(most int) {
+	tasks := s.dirty[:0:0]
+	take := func(t *work.Task) {
+		if s.chunks[t.Chunk.Key] == t.Chunk {
+			tasks = append(tasks, t)
 		}
-		if size += len(value) + 200; size > tuning.CommitBytes && i > 0 {
-			batch = batch[:i]
-			break
-		}
-		guards = append(guards, ledger.Guard{Key: c.Key, Stamp: c.Stamp})
-		apply = append(apply, ledger.Change{Set: c.Key, Value: value})
-		for _, t := range c.Tasks {
-			tasks = append(tasks, saved{t, t.State, t.Attempt})
+	}
+	for _, t := range s.dirty {
+		take(t)
+	}
+	// What is still true of an old page moves on with the rest, so that the
+	// page can be written over and the log stays as long as the work is.
+	for _, t := range s.pages.oldest() {
+		if !t.Dirty {
+			t.Dirty = true
+			take(t)
 		}
 	}
-	for _, c := range batch {
-		c.Dirty, c.Urgent = false, false
+	values, on, rest, err := work.Pack(tasks, s.pageBytes(), most)
+	if err != nil {
+		s.log.Error("log pages do not encode", "err", err)
+		return
+	}
+	s.dirty, s.urgent = append([]*work.Task(nil), rest...), s.urgent && len(rest) > 0
+	if len(values) == 0 {
+		return
+	}
+	var apply []ledger.Change
+	var written []saved
+	free := s.pages.free(len(values))
+	for i, value := range values {
+		apply = append(apply, ledger.Change{Set: work.PageKey(s.block, free[i]), Value: value})
+		for _, t := range on[i] {
+			t.Dirty = false
+			written = append(written, saved{t, t.State, t.Attempt, free[i]})
+		}
 	}
-	s.dirty = slices.DeleteFunc(s.dirty, func(c *work.Chunk) bool { return !c.Dirty })
 	undo := func() {
-		for _, c := range batch {
-			if s.chunks[c.Key] != c {
-				continue
-			}
-			if !c.Dirty {
-				c.Dirty, c.Since = true, s.rt.Now()
-				s.dirty = append(s.dirty, c)
-			}
-			c.Urgent = true
+		for _, w := range written {
+			s.Changed(w.task, true)
 		}
 	}
 	term := s.term
 	s.flying = true
 	s.budget -= float64(len(apply))
-	s.led.Commit(guards, apply, func(r ledger.Result) {
+	s.led.Commit([]ledger.Guard{{Key: ledger.BlockKey(s.block), Stamp: s.token}}, apply, func(r ledger.Result) {
 		if term != s.term {
 			return
 		}
 		switch r.Outcome {
 		case ledger.OK:
 			s.flying, s.tries = false, 0
-			for _, c := range batch {
-				c.Stamp = r.Epoch
-			}
-			for _, p := range tasks {
-				t := p.task
+			for _, w := range written {
+				t := w.task
+				if s.chunks[t.Chunk.Key] != t.Chunk {
+					continue
+				}
+				s.pages.take(t.Page)
+				t.Page = w.page
+				s.pages.put(t.Page, t)
 				switch {
-				case p.state == work.Done:
+				case w.state == work.Done:
 					t.DoneDurable = true
-				case p.state == work.Placed && t.State == work.Placed && t.Attempt == p.attempt && !t.Durable:
+				case w.state == work.Placed && t.State == work.Placed && t.Attempt == w.attempt && !t.Durable:
 					t.Durable = true
 					s.Launchable(t)
 				}
@@ -410,7 +413,13 @@
 				}
 			})
 		case ledger.Conflict:
-			s.conflict(term, r.Failed, undo)
+			// The block is another's, or this node's under a newer token.
+			s.office.Verify(func() {
+				if term == s.term {
+					s.log.Warn("guards failed, renewing the token", "block", s.block, "keys", r.Failed)
+					s.renew(term)
+				}
+			})
 		default:
 			// It may be carried out late. Under a new token its guard fails;
 			// then the records are read anew.
@@ -420,38 +429,6 @@
 	})
 }
 
-// conflict finds out why a guard failed: the block is another's, or the leader
-// has removed a record of a cancelled job.
-func (s *Shelf) conflict(term int, failed []string, undo func()) {
-	s.office.Verify(func() {
-		if term != s.term {
-			return // the block was lost, or has a new token
-		}
-		s.store.Check(func(err error) {
-			if term != s.term {
-				return
-			}
-			stranger := err != nil || slices.Contains(failed, ledger.BlockKey(s.block))
-			for _, key := range failed {
-				if s.store.Get(key) != nil {
-					stranger = true
-				}
-			}
-			if stranger {
-				s.log.Warn("guards failed, renewing the token", "block", s.block, "keys", failed)
-				s.renew(term)
-				return
-			}
-			s.flying = false
-			for _, key := range failed {
-				s.remove(key)
-			}
-			undo()
-			s.Flush()
-		})
-	})
-}
-
 // renew asks for a new token until there is one. Until then nothing is
 // committed, so nothing is launched.
 func (s *Shelf) renew(term int) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -38,12 +38,12 @@
 	desk   *intake.Desk
 	leader *lead.Leader
 	fleet  *fleet.Fleet
-	owners [tuning.Blocks]*owner
+	owners []*owner
 	peers  map[string]string // endpoints by node
 
 	lastBeat time.Duration         // from any worker, for any block
 	sent     map[string]redirected // workers sent to their owners
-	telling  [tuning.Blocks]bool
+	telling  []bool
 	shared   time.Duration // when a peer last said that it has no answers either
 	alone    bool          // a peer is served by the state service, this node is not
 }
@@ -65,15 +65,16 @@
 		}
 	}
 	n.led = ledger.New(rt, set.External.State, log)
-	n.office = ledger.NewOffice(rt, n.led, log, set.Node, nonce, rank, tuning.Blocks)
+	n.office = ledger.NewOffice(rt, n.led, log, set.Node, nonce, rank, set.Blocks())
 	n.cat = intake.NewCatalog(rt, n.led, set.Deployment.Teams, log)
 	n.store = work.NewStore(rt, n.led, log)
 	n.fleet = fleet.New(rt, set.External.Cloud, n.office, set, log)
 	n.leader = lead.New(rt, n.led, n.office, n.cat, n.store, n.fleet, set, log)
 	n.desk = intake.NewDesk(rt, n.led, n.cat, set, log)
-	for b := range n.owners {
-		n.owners[b] = newOwner(n, b)
+	for b := range set.Blocks() {
+		n.owners = append(n.owners, newOwner(n, b))
 	}
+	n.telling = make([]bool, len(n.owners))
 
 	n.office.LeadWon = func(token uint64) {
 		n.leader.Begin(token)
@@ -94,12 +95,19 @@
 			o.shelf.JobChanged(e)
 		}
 	}
-	n.store.Changed = func(old, now *work.Record) {
-		n.leader.RecordChanged(old, now)
+	n.store.Added = func(r *work.Record) {
+		n.leader.RecordAdded(r)
 		for _, o := range n.owners {
-			o.shelf.RecordChanged(old, now)
+			o.shelf.RecordAdded(r)
 		}
 	}
+	n.store.Removed = func(r *work.Record) {
+		n.leader.RecordRemoved(r)
+		for _, o := range n.owners {
+			o.shelf.RecordRemoved(r)
+		}
+	}
+	n.store.Moved = n.leader.TaskMoved
 	pace := func() time.Duration {
 		if n.office.Lead() != 0 || n.owning() {
 			return 0
@@ -109,7 +117,7 @@
 	n.store.Pace(pace)
 	n.cat.Pace(pace)
 	n.desk.Types = n.fleet.Types
-	n.desk.Progress = func(id string) (int, int) { return lead.Progress(n.store, id) }
+	n.desk.Progress = n.store.Progress
 	return n
 }
 
@@ -203,7 +211,7 @@
 
 // digest takes an owner's word; only the leader does.
 func (n *Node) digest(d *fleet.Digest) fleet.Reply {
-	if d.Block < 0 || d.Block >= tuning.Blocks || n.office.Owner(d.Block) != d.Node {
+	if d.Block < 0 || d.Block >= len(n.owners) || n.office.Owner(d.Block) != d.Node {
 		return fleet.Reply{}
 	}
 	r := n.fleet.Hear(d)
@@ -229,7 +237,7 @@
 			answer(nil, false)
 			return
 		}
-		o := n.owners[work.BlockOf(r.Host)]
+		o := n.owners[work.BlockOf(r.Host, len(n.owners))]
 		if !n.answering(o) {
 			answer(nil, false)
 			return
@@ -300,7 +308,7 @@
 	}
 	now := n.rt.Now()
 	n.lastBeat = now
-	b := work.BlockOf(r.Host)
+	b := work.BlockOf(r.Host, len(n.owners))
 	o := n.owners[b]
 	if n.answering(o) {
 		status, answer := o.table.Report(r)
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -23,6 +23,10 @@
 	lastRound time.Duration
 	rounding  bool
 	wanted    bool // a placement round is due
+
+	seq    uint64 // of the digests
+	told   map[string]fleet.HostState
+	untold bool // a digest may not have arrived
 }
 
 // Token, Valid and Renew are the block's lease, as the table sees it.
@@ -35,7 +39,7 @@
 func (o *owner) Renew() { o.node.office.Renew(o.block) }
 
 func newOwner(n *Node, number int) *owner {
-	o := &owner{node: n, block: number}
+	o := &owner{node: n, block: number, told: map[string]fleet.HostState{}}
 	o.shelf = block.NewShelf(n.rt, n.led, n.office, n.cat, n.store, n.set, n.log, number)
 	o.table = agents.NewTable(n.rt, o, o.shelf, n.set, n.log)
 	o.planner = placement.New(n.set.WaitBound())
@@ -46,6 +50,7 @@
 	o.table.Waiting = o.arrive
 	o.table.Type = n.fleet.Type
 	o.planner.Open = o.table.Open
+	o.planner.Find = o.table.Get
 	o.planner.Place = o.table.Place
 	return o
 }
@@ -57,7 +62,7 @@
 
 // begin starts to act under a new token.
 func (o *owner) begin(token uint64) {
-	o.token = token
+	o.token, o.untold = token, true
 	o.planner.Reset()
 	o.table.End()
 	o.shelf.Begin(token)
@@ -70,6 +75,11 @@
 	o.table.End()
 }
 
+// pause is the time between two placement rounds.
+func (o *owner) pause() time.Duration {
+	return tuning.RoundPause + time.Duration(len(o.table.All()))*tuning.RoundPerMachine
+}
+
 // settle takes the decisions that a batch of commands has made necessary.
 func (o *owner) settle() {
 	if o.token == 0 || !o.shelf.IsLoaded() {
@@ -77,7 +87,7 @@
 	}
 	if o.wanted && o.Valid() && !o.rounding {
 		now := o.node.rt.Now()
-		if wait := o.lastRound + tuning.RoundPause - now; wait > 0 && o.lastRound > 0 {
+		if wait := o.lastRound + o.pause() - now; wait > 0 && o.lastRound > 0 {
 			o.rounding = true
 			o.node.rt.After(wait, func() { o.rounding = false })
 		} else {
@@ -89,11 +99,16 @@
 	o.table.Settle()
 }
 
-// digest is the owner's word to the leader.
+// digest is the owner's word to the leader: of all machines when the word
+// before may not have arrived, else of those of which something has changed.
 func (o *owner) digest() *fleet.Digest {
 	now := o.node.rt.Now()
 	hosts := o.table.All()
-	d := &fleet.Digest{Node: o.node.set.Node, Block: o.block, Token: o.token}
+	o.seq++
+	d := &fleet.Digest{Node: o.node.set.Node, Block: o.block, Token: o.token, Seq: o.seq, Full: o.untold}
+	if o.untold {
+		clear(o.told)
+	}
 	up, quiet := 0, 0
 	for _, h := range hosts {
 		if h.Up {
@@ -105,19 +120,26 @@
 	}
 	for _, h := range hosts {
 		s := fleet.HostState{ID: h.ID, Addr: h.Addr, Build: h.Build, Zone: h.Zone, Spot: h.Spot, Up: h.Up,
-			Open: o.table.Open(h), Tasks: len(h.Tasks) + h.Stray, Back: o.table.GiveBack(h, quiet, up), Images: h.Images()}
-		if len(h.Tasks) == 0 {
+			Open: o.table.Open(h), Busy: len(h.Tasks)+h.Stray > 0, Back: o.table.GiveBack(h, quiet, up)}
+		if o.told[h.ID] == s {
+			continue
+		}
+		o.told[h.ID] = s
+		if !s.Busy {
 			s.IdleMS = (now - h.Idle).Milliseconds()
 		}
 		d.Hosts = append(d.Hosts, s)
 	}
+	o.untold = true // until its answer is in
 	return d
 }
 
 // obey carries out the leader's answer to a digest.
 func (o *owner) obey(r *fleet.Reply) {
+	o.untold = r.Full
 	for _, id := range r.Returned {
 		o.table.Returned(id)
+		delete(o.told, id)
 	}
 	for _, id := range r.Drain {
 		o.table.Drain(id, "idle")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,10 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/url"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"lemonmoor/internal/engine"
@@ -27,17 +27,29 @@
 	Owner(block int) string
 }
 
-// kind is a kind of machine that can be rented.
-type kind struct {
-	build, zone string
-	spot        bool
+// Kind is a kind of machine that can be rented.
+type Kind struct {
+	Build, Zone string
+	Spot        bool
+}
+
+// Before orders kinds.
+func (k Kind) Before(o Kind) bool {
+	if k.Build != o.Build {
+		return k.Build < o.Build
+	}
+	if k.Zone != o.Zone {
+		return k.Zone < o.Zone
+	}
+	return k.Spot && !o.Spot
 }
 
 // machine is a rented machine as the cloud knows it.
 type machine struct {
 	id      string
+	block   int
 	addr    string
-	kind    kind
+	kind    Kind
 	rented  time.Duration
 	listed  bool
 	booting bool // by the newest list
@@ -48,8 +60,15 @@
 	why     string
 	drain   string // why its owner is asked to keep tasks off it
 	state   HostState
-	heard   time.Duration // of that state
 	known   bool          // there is one
+	idle    time.Duration // since when it has had no tasks
+}
+
+// word is the newest that a block's owner has told.
+type word struct {
+	token, seq uint64
+	heard      time.Duration
+	any        bool
 }
 
 // hire is a rental request; its name is used for this request alone.
@@ -61,26 +80,30 @@
 	Number int    `json:"number"`
 }
 
+func (h hire) kind() Kind { return Kind{h.Build, h.Zone, h.Spot} }
+
 // HostState is what a block's owner tells of a machine.
 type HostState struct {
-	ID     string   `json:"id"`
-	Addr   string   `json:"addr"`
-	Build  string   `json:"build"`
-	Zone   string   `json:"zone"`
-	Spot   bool     `json:"spot"`
-	Up     bool     `json:"up"`   // its worker has reported
-	Open   bool     `json:"open"` // takes tasks
-	IdleMS int64    `json:"idleMs"`
-	Tasks  int      `json:"tasks"`
-	Back   string   `json:"back,omitempty"` // why it should be returned now
-	Images []string `json:"images,omitempty"`
-}
-
-// Digest is an owner's word on its block.
+	ID     string `json:"id"`
+	Addr   string `json:"addr"`
+	Build  string `json:"build"`
+	Zone   string `json:"zone"`
+	Spot   bool   `json:"spot"`
+	Up     bool   `json:"up"`   // its worker has reported
+	Open   bool   `json:"open"` // takes tasks
+	IdleMS int64  `json:"idleMs,omitempty"`
+	Busy   bool   `json:"busy,omitempty"` // has, or may have, tasks
+	Back   string `json:"back,omitempty"` // why it should be returned now
+}
+
+// Digest is an owner's word on its block: all machines, or those of which
+// something has changed since the word before.
 type Digest struct {
 	Node  string      `json:"node"`
 	Block int         `json:"block"`
 	Token uint64      `json:"token"`
+	Seq   uint64      `json:"seq"`
+	Full  bool        `json:"full,omitempty"`
 	Hosts []HostState `json:"hosts"`
 }
 
@@ -92,52 +115,44 @@
 
 // Reply is the leader's answer to a digest.
 type Reply struct {
+	Full     bool     `json:"full,omitempty"` // a word is missing: tell all
 	Drain    []string `json:"drain,omitempty"`
 	Returned []string `json:"returned,omitempty"` // gone, with all on them
 	Recall   []Recall `json:"recall,omitempty"`
 }
 
-// Room is what a machine has left for tasks.
+// Room is a machine that takes tasks or is about to.
 type Room struct {
-	Host                string
-	Block               int
-	Type                *jobs.MachineType
-	Zone                string
-	Spot                bool
-	Booting             bool
-	Images              []string
-	CPUs, Cards, Memory float64
+	Kind
+	Host    string
+	Block   int
+	Type    *jobs.MachineType
+	Booting bool
 }
 
-const slack = 1e-9 // sums of decimal amounts are not exact
-
 // Could tells whether the machine may run a task of the job at all.
 func (r *Room) Could(d *jobs.Description, zone string) bool {
 	return r.Type.Runs(d) && (d.Zone == "" || d.Zone == r.Zone) && (zone == "" || zone == r.Zone) && (d.Spot || !r.Spot)
 }
 
-// Fits tells whether there is room for one now.
-func (r *Room) Fits(d *jobs.Description, zone string) bool {
-	return d.CPUs <= r.CPUs+slack && d.Cards <= r.Cards+slack && d.MemoryGB <= r.Memory+slack && r.Could(d, zone)
-}
-
-// Take uses room for one task.
-func (r *Room) Take(d *jobs.Description) {
-	r.CPUs -= d.CPUs
-	r.Cards -= d.Cards
-	r.Memory -= d.MemoryGB
-}
-
-// Caches tells whether the machine has an image.
-func (r *Room) Caches(image string) bool { return slices.Contains(r.Images, image) }
-
 // Need is tasks of a job for which there is no room.
 type Need struct {
 	Desc   *jobs.Description
 	Zone   string // fixed at hand-out, "" for any
 	Number int
+	// Soft and Hard are how many seconds they can wait before an aim of the
+	// users is missed; Hard leaves out the aim for work within a guarantee.
+	Soft, Hard float64
+}
+
+// cpus is what a task takes of a machine type, its memory counted as the
+// processors that go with it.
+func (n *Need) cpus(t *jobs.MachineType) float64 {
+	return max(n.Desc.CPUs, n.Desc.MemoryGB/t.MemoryGB*t.CPUs)
 }
 
+const slack = 1e-9 // sums of decimal amounts are not exact
+
 // Fleet is the leader's view of the cloud.
 type Fleet struct {
 	rt     engine.Runtime
@@ -149,13 +164,15 @@
 	types    []jobs.MachineType
 	machines map[string]*machine
 	returned map[string]time.Duration // when
-	pauses   map[kind]time.Duration
+	pauses   map[Kind]time.Duration
 	needs    []Need
+	words    []word     // by block
+	news     [][]string // by block: returned since the owner's last word
 	counter  uint64
 	term     int
 	begun    time.Duration
 	listed   bool // the machine list has been read in this term
-	hiring   int
+	flying   map[string]hire
 	tokens   float64
 	filled   time.Duration
 }
@@ -163,7 +180,8 @@
 // New returns a fleet that speaks to the cloud at addr.
 func New(rt engine.Runtime, addr string, office Office, set *settings.Settings, log *slog.Logger) *Fleet {
 	return &Fleet{rt: rt, addr: addr, office: office, set: set, log: log,
-		machines: map[string]*machine{}, returned: map[string]time.Duration{}, pauses: map[kind]time.Duration{}}
+		machines: map[string]*machine{}, returned: map[string]time.Duration{}, pauses: map[Kind]time.Duration{},
+		flying: map[string]hire{}, words: make([]word, set.Blocks()), news: make([][]string, set.Blocks())}
 }
 
 // Start reads the machine types and keeps their prices current.
@@ -224,11 +242,11 @@
 			}
 		}
 	}
-	for _, r := range f.Rooms() {
+	f.Rooms(func(r *Room) {
 		if r.Could(d, "") {
 			room[r.Zone] += r.Type.CPUs
 		}
-	}
+	})
 	zones := make([]string, 0, len(room))
 	for z := range room {
 		zones = append(zones, z)
@@ -254,8 +272,10 @@
 func (f *Fleet) Begin() {
 	f.term++
 	f.begun = f.rt.Now()
-	f.listed, f.hiring, f.counter = false, 0, 0
+	f.listed, f.counter = false, 0
 	clear(f.machines)
+	clear(f.flying)
+	clear(f.words)
 	clear(f.pauses)
 	f.needs = nil
 	term := f.term
@@ -334,7 +354,7 @@
 				}
 				m := f.machines[l.ID]
 				if m == nil {
-					m = &machine{id: l.ID, kind: kind{l.Build, l.Zone, l.Spot},
+					m = &machine{id: l.ID, kind: Kind{l.Build, l.Zone, l.Spot}, block: work.BlockOf(l.ID, len(f.words)),
 						rented: asked - time.Duration(l.AgeS*float64(time.Second))}
 					f.machines[l.ID] = m
 				}
@@ -374,9 +394,11 @@
 	}
 }
 
-// fresh tells whether the owner's word on a machine is new enough.
+// fresh tells whether the owner's word on a machine is new enough. Words come
+// every second, whatever the workers' pace.
 func (f *Fleet) fresh(m *machine) bool {
-	return m.known && f.rt.Now()-m.heard < tuning.DigestStale
+	w := &f.words[m.block]
+	return m.known && w.any && f.rt.Now()-w.heard < tuning.DigestStale
 }
 
 // Hear takes an owner's digest. Machines in it that were not rented in this
@@ -384,7 +406,23 @@
 func (f *Fleet) Hear(d *Digest) Reply {
 	var r Reply
 	now := f.rt.Now()
+	w := &f.words[d.Block]
+	if !d.Full && (!w.any || w.token != d.Token || d.Seq != w.seq+1) {
+		r.Full = true // what it tells is true, but something is missing
+	} else {
+		*w = word{d.Token, d.Seq, now, true}
+	}
+	// A word whose answer is lost is followed by a full one, which asks for
+	// these anew.
+	r.Returned, f.news[d.Block] = f.news[d.Block], nil
+	var there map[string]bool
+	if d.Full {
+		there = make(map[string]bool, len(d.Hosts))
+	}
 	for _, s := range d.Hosts {
+		if there != nil {
+			there[s.ID] = true
+		}
 		if _, gone := f.returned[s.ID]; gone {
 			r.Returned = append(r.Returned, s.ID)
 			continue
@@ -394,41 +432,55 @@
 			if !s.Up {
 				continue // known from a record only
 			}
-			m = &machine{id: s.ID, rented: now}
+			m = &machine{id: s.ID, rented: now, block: d.Block}
 			f.machines[s.ID] = m
 		}
 		if s.Up {
-			m.addr, m.kind = s.Addr, kind{s.Build, s.Zone, s.Spot}
+			m.addr, m.kind = s.Addr, Kind{s.Build, s.Zone, s.Spot}
 		}
 		// A new owner knows some machines from their records only, until
 		// they report to it: that makes none of them one that never booted.
-		m.state, m.heard, m.known = s, now, m.known || s.Up
+		m.state, m.known = s, m.known || s.Up
+		m.idle = now - time.Duration(s.IdleMS)*time.Millisecond
 		if s.Back != "" {
 			f.giveBack(m, s.Back)
 		}
-		if m.drain != "" {
-			r.Drain = append(r.Drain, s.ID)
+	}
+	for id, m := range f.machines {
+		switch {
+		case m.block != d.Block:
+		case there != nil && !there[id]:
+			m.state.Open = false // it has not reported to this owner yet
+		case m.drain != "" && m.known && m.state.Open:
+			r.Drain = append(r.Drain, id)
 		}
 	}
 	return r
 }
 
-// Rooms returns the machines that take tasks or are about to, empty.
-func (f *Fleet) Rooms() []*Room {
-	var rooms []*Room
+// Rooms calls fn for the machines that take tasks or are about to.
+func (f *Fleet) Rooms(fn func(*Room)) {
+	var r Room
 	for _, m := range f.machines {
-		t := f.Type(m.kind.build)
+		t := f.Type(m.kind.Build)
 		if t == nil || m.release || m.failed || m.drain != "" {
 			continue
 		}
 		if m.known && (!f.fresh(m) || !m.state.Open) {
 			continue
 		}
-		rooms = append(rooms, &Room{Host: m.id, Block: work.BlockOf(m.id), Type: t, Zone: m.kind.zone, Spot: m.kind.spot,
-			Booting: !m.known, Images: m.state.Images, CPUs: t.CPUs, Cards: t.Cards, Memory: t.MemoryGB})
+		r = Room{Kind: m.kind, Host: m.id, Block: m.block, Type: t, Booting: !m.known}
+		fn(&r)
+	}
+	// Machines whose rental is under way: their names, and so their blocks,
+	// will be spread evenly.
+	for _, h := range f.flying {
+		t := f.Type(h.Build)
+		for i := 0; t != nil && i < h.Number; i++ {
+			r = Room{Kind: h.kind(), Block: i % len(f.words), Type: t, Booting: true}
+			fn(&r)
+		}
 	}
-	slices.SortFunc(rooms, func(a, b *Room) int { return strings.Compare(a.Host, b.Host) })
-	return rooms
 }
 
 // Want tells for which tasks there is no room.
@@ -468,7 +520,7 @@
 		}
 		if !m.known {
 			boot := 60.0
-			if t := f.Type(m.kind.build); t != nil {
+			if t := f.Type(m.kind.Build); t != nil {
 				boot = t.BootS
 			}
 			limit := time.Duration(boot*tuning.BootFactor*float64(time.Second)) + tuning.BootSlack
@@ -478,12 +530,11 @@
 			continue
 		}
 		keep := f.set.IdleKeep()
-		if t := f.Type(m.kind.build); t != nil && !m.kind.spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
+		if t := f.Type(m.kind.Build); t != nil && !m.kind.Spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
 			// Kept ready as long as a spot machine would be for the money.
 			keep = time.Duration(float64(keep) * max(t.SpotPrice/t.Price, tuning.IdleLeast))
 		}
-		if m.drain == "" && f.fresh(m) && m.state.Open && m.state.Tasks == 0 &&
-			m.state.IdleMS > keep.Milliseconds() && now-f.begun > keep/2 {
+		if m.drain == "" && f.fresh(m) && m.state.Open && !m.state.Busy && now-m.idle > keep && now-f.begun > keep/2 {
 			m.drain = "idle" // its owner agrees, then gives it back
 		}
 	}
@@ -523,6 +574,8 @@
 				// Whoever leads now: the machines are gone.
 				for _, id := range names {
 					f.returned[id] = f.rt.Now()
+					b := work.BlockOf(id, len(f.words))
+					f.news[b] = append(f.news[b], id)
 				}
 			}
 			if term != f.term {
@@ -538,115 +591,104 @@
 		})
 }
 
-// rent asks for machines for the tasks that have no room.
-func (f *Fleet) rent(term int) {
-	if f.hiring > 0 || f.types == nil || len(f.needs) == 0 || f.rt.Now()-f.begun < tuning.DigestEvery*2 {
-		return
-	}
-	if f.soonDone() {
-		return
-	}
-	needs := slices.Clone(f.needs)
-	f.needs = nil // until the next hand-out has seen what comes
-	for try := 0; try < 2 && len(needs) > 0; try++ {
-		k, n, rest := f.choose(needs)
-		if n == 0 {
-			needs = needs[1:]
-			continue
-		}
-		if !f.afford() {
-			return
-		}
-		f.counter++
-		f.hire(term, hire{fmt.Sprintf("r-%d-%d", f.office.Lead(), f.counter), k.build, k.zone, k.spot, n}, 0)
-		needs = rest
-	}
+// capacity is the processors of the machines, up or booting, by kind.
+func (f *Fleet) capacity() map[Kind]float64 {
+	sum := map[Kind]float64{}
+	f.Rooms(func(r *Room) { sum[r.Kind] += r.Type.CPUs })
+	return sum
 }
 
-// soonDone tells whether the machines there are will have done the waiting work
-// before new ones would be up. Work that none of them can run never is.
-func (f *Fleet) soonDone() bool {
-	rooms := f.Rooms()
-	var cpus, work float64
-	for _, r := range rooms {
-		cpus += r.Type.CPUs
-	}
-	for _, n := range f.needs {
-		if !slices.ContainsFunc(rooms, func(r *Room) bool { return r.Could(n.Desc, n.Zone) }) {
-			return false
-		}
-		work += float64(n.Number) * n.Desc.CPUs * n.Desc.EstimateS
+// rent asks for machines for the tasks that have no room. Each need waits
+// behind those before it; machines are rented while that wait, at the pace of
+// the machines that could do the work, is longer than the users' aims leave.
+func (f *Fleet) rent(term int) {
+	if f.types == nil || f.rt.Now()-f.begun < tuning.DigestEvery*2 {
+		return
 	}
-	boot := 0.0
-	for i := range f.types {
-		if b := f.types[i].BootS; boot == 0 || b < boot {
-			boot = b
+	have := f.capacity()
+	var queued float64 // seconds of one processor, of the needs so far
+	for i := range f.needs {
+		n := &f.needs[i]
+		queued += float64(n.Number) * n.Desc.CPUs * max(n.Desc.EstimateS, 1)
+		for {
+			cpus := 0.0
+			for k, c := range have {
+				if room := f.empty(k); room.Type != nil && room.Could(n.Desc, n.Zone) {
+					cpus += c
+				}
+			}
+			k, number := f.choose(n, queued, cpus, f.needs[i:])
+			if number == 0 {
+				break
+			}
+			if !f.afford() {
+				return
+			}
+			f.counter++
+			have[k] += float64(number) * f.Type(k.Build).CPUs
+			f.hire(term, hire{fmt.Sprintf("r-%d-%d", f.office.Lead(), f.counter), k.Build, k.Zone, k.Spot, number}, 0)
 		}
 	}
-	return work < tuning.RentBacklog*boot*cpus
 }
 
-// choose finds the kind of machine that does the waiting work, beginning with
-// the first, at the least price, and how many of it are wanted.
-func (f *Fleet) choose(needs []Need) (best kind, number int, rest []Need) {
+// choose finds the kind of machine that does the waiting work at the least
+// price, and how many of it are wanted; none if the work can wait. queued is
+// the work up to this need, cpus what can do it.
+func (f *Fleet) choose(n *Need, queued, cpus float64, needs []Need) (best Kind, number int) {
 	now := f.rt.Now()
-	bestCost := 0.0
+	bestCost, bestWait := math.Inf(1), 0.0
 	for i := range f.types {
 		t := &f.types[i]
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				k := kind{t.Label, zone, spot}
-				if now < f.pauses[k] || !f.empty(k).Fits(needs[0].Desc, needs[0].Zone) {
+				k := Kind{t.Label, zone, spot}
+				if now < f.pauses[k] || !f.empty(k).Could(n.Desc, n.Zone) {
 					continue
 				}
-				price := t.Price
+				price, wait := t.Price, f.wait(n.Hard, t, n.Desc)
 				if spot {
-					price = t.SpotPrice
+					price, wait = t.SpotPrice, f.wait(n.Soft, t, n.Desc)
+				}
+				if cpus > 0 && queued/cpus <= wait {
+					continue
 				}
-				used, _ := f.fill(k, needs)
-				if cost := price / max(used, 1e-3); number == 0 || cost < bestCost {
-					best, bestCost, number = k, cost, 1
+				// Large machines are all that large tasks have; at about the
+				// same price small tasks go to small ones.
+				cost := price / max(n.Desc.CPUs*math.Floor(t.CPUs/n.cpus(t)+slack), 1e-3) * (1 + tuning.LargeDear*math.Log2(max(1, t.CPUs)))
+				if cost < bestCost {
+					best, bestCost, bestWait = k, cost, wait
 				}
 			}
 		}
 	}
-	if number == 0 {
-		return best, 0, needs
+	if math.IsInf(bestCost, 1) {
+		return best, 0
 	}
-	least, rest := f.fill(best, needs)
-	for number < tuning.HireMax && len(rest) > 0 {
-		used, left := f.fill(best, rest)
-		if used < least/2 || used == 0 {
-			break
+	t := f.Type(best.Build)
+	number = int(math.Ceil((queued/bestWait - cpus) / t.CPUs))
+	// No more than the tasks from here on fill.
+	fill := 0.0
+	for i := range needs {
+		if m := &needs[i]; f.empty(best).Could(m.Desc, m.Zone) {
+			fill += float64(m.Number) * m.cpus(t)
 		}
-		number, rest = number+1, left
 	}
-	return best, number, rest
+	return best, max(1, min(number, int(math.Ceil(fill/t.CPUs)), tuning.HireMax))
 }
 
-// empty is a machine of a kind with nothing on it.
-func (f *Fleet) empty(k kind) *Room {
-	t := f.Type(k.build)
-	return &Room{Type: t, Zone: k.zone, Spot: k.spot, CPUs: t.CPUs, Cards: t.Cards, Memory: t.MemoryGB}
-}
-
-// fill tells how many processors of an empty machine the tasks would use, and
-// which tasks are left over.
-func (f *Fleet) fill(k kind, needs []Need) (used float64, rest []Need) {
-	r := f.empty(k)
-	for _, n := range needs {
-		for n.Number > 0 && r.Fits(n.Desc, n.Zone) {
-			r.Take(n.Desc)
-			used += max(n.Desc.CPUs, n.Desc.MemoryGB/r.Type.MemoryGB*r.Type.CPUs)
-			n.Number--
-		}
-		if n.Number > 0 {
-			rest = append(rest, n)
-		}
+// wait is how long a queue may be before a machine of a type is worth its boot,
+// for tasks that can wait so many seconds.
+func (f *Fleet) wait(patience float64, t *jobs.MachineType, d *jobs.Description) float64 {
+	fetch := 0.0
+	if t.PullRate > 0 {
+		fetch = d.ImageGB / t.PullRate
 	}
-	return used, rest
+	return max(tuning.RentBacklog*t.BootS, tuning.PatienceShare*(patience-t.BootS-fetch))
 }
 
+// empty is a machine of a kind with nothing on it.
+func (f *Fleet) empty(k Kind) *Room { return &Room{Kind: k, Type: f.Type(k.Build)} }
+
 // hire sends a rental request until its answer is known; repeated, it rents
 // nothing more.
 func (f *Fleet) hire(term int, h hire, try int) {
@@ -654,14 +696,14 @@
 	if err != nil {
 		return
 	}
-	f.hiring++
+	f.flying[h.Name] = h
 	f.rt.Call(f.addr, httpwire.Call{Method: "POST", Target: "/rentals", Body: body}, tuning.CloudTimeout,
 		func(ans httpwire.Answer, err error) {
 			if term != f.term {
 				return // machines it brings turn up in reports and in the list
 			}
-			f.hiring--
-			k := kind{h.Build, h.Zone, h.Spot}
+			delete(f.flying, h.Name)
+			k := h.kind()
 			var reply struct {
 				Hosts []string `json:"hosts"`
 				Error string   `json:"error"`
@@ -673,7 +715,7 @@
 			case err == nil && ans.Status == 200:
 				for _, id := range reply.Hosts {
 					if f.machines[id] == nil {
-						f.machines[id] = &machine{id: id, kind: k, rented: f.rt.Now()}
+						f.machines[id] = &machine{id: id, kind: k, rented: f.rt.Now(), block: work.BlockOf(id, len(f.words))}
 					}
 				}
 				if len(reply.Hosts) < h.Number {
@@ -687,13 +729,12 @@
 				f.pauses[k] = f.rt.Now() + 5*tuning.CapacityPause
 				f.log.Warn("rental refused as malformed", "body", string(ans.Body))
 			default:
-				f.hiring++
+				f.flying[h.Name] = h
 				pause := min(time.Second<<min(try, 3), 8*time.Second)
 				f.rt.After(time.Duration(float64(pause)*(0.5+f.rt.Rand())), func() {
 					if term != f.term {
 						return
 					}
-					f.hiring--
 					f.hire(term, h, try+1)
 				})
 			}
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -1,128 +1,208 @@
 package lead
 
 import (
+	"math"
 	"sort"
+	"time"
 
 	"lemonmoor/internal/fleet"
+	"lemonmoor/internal/jobs"
 	"lemonmoor/internal/ledger"
 	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/work"
 )
 
+// room is what one machine has left.
+type room struct{ cpus, cards, memory float64 }
+
+// rack is the machines of one kind in one block, up or booting: whether a job
+// may use them is asked once for all of them.
+type rack struct {
+	kind    *fleet.Room
+	block   int
+	booting bool
+	rooms   []room
+	sorted  bool
+}
+
 // board is the machines' room as one hand-out sees it.
 type board struct {
-	rooms  []*fleet.Room
-	cpus   [tuning.Blocks]float64 // of all machines, by block
-	queued [tuning.Blocks]float64 // of tasks that wait in the blocks' queues
+	racks  []*rack
+	cpus   []float64 // of all machines, by block
+	queued []float64 // of tasks that wait in the blocks' queues
+	number int       // of machines
 }
 
 func (l *Leader) board() *board {
-	b := &board{rooms: l.fleet.Rooms()}
-	for _, r := range b.rooms {
+	blocks := l.set.Blocks()
+	b := &board{cpus: make([]float64, blocks), queued: make([]float64, blocks)}
+	type which struct {
+		kind    fleet.Kind
+		block   int
+		booting bool
+	}
+	index := map[which]*rack{}
+	l.fleet.Rooms(func(r *fleet.Room) {
+		b.number++
 		b.cpus[r.Block] += r.Type.CPUs
+		w := which{r.Kind, r.Block, r.Booting}
+		s := index[w]
+		if s == nil {
+			kind := *r
+			s = &rack{kind: &kind, block: r.Block, booting: r.Booting}
+			index[w] = s
+			b.racks = append(b.racks, s)
+		}
+		left := room{r.Type.CPUs, r.Type.Cards, r.Type.MemoryGB}
 		if h := l.loads[r.Host]; h != nil {
-			r.CPUs -= h.cpus
-			r.Cards -= h.cards
-			r.Memory -= h.memory
+			left.cpus -= h.cpus
+			left.cards -= h.cards
+			left.memory -= h.memory
 		}
-	}
-	// The fullest first, so that others run empty and can be returned.
-	sort.SliceStable(b.rooms, func(i, k int) bool { return b.rooms[i].CPUs < b.rooms[k].CPUs })
+		if left.cpus > slack && left.memory > slack {
+			s.rooms = append(s.rooms, left)
+		}
+	})
+	// Small machines first: large ones are all that large tasks have.
+	sort.Slice(b.racks, func(i, k int) bool {
+		a, c := b.racks[i], b.racks[k]
+		if x, y := a.kind.Type.CPUs, c.kind.Type.CPUs; x != y {
+			return x < y
+		}
+		if a.kind.Kind != c.kind.Kind {
+			return a.kind.Kind.Before(c.kind.Kind)
+		}
+		return a.block < c.block
+	})
 	return b
 }
 
-// find returns the room for a task: open machines before booting ones, those
-// that cache the image first. block -1 stands for any.
-func (b *board) find(p *plan, zone string, block int, booting bool) *fleet.Room {
-	var best *fleet.Room
-	for _, r := range b.rooms {
-		if (block >= 0 && r.Block != block) || r.Booting != booting || !r.Fits(p.desc, zone) {
+const slack = 1e-9 // sums of decimal amounts are not exact
+
+// fit tells how many tasks of a job a machine has room for.
+func (r *room) fit(d *jobs.Description) int {
+	n := math.MaxInt32
+	for _, x := range [...]struct{ need, left float64 }{{d.CPUs, r.cpus}, {d.Cards, r.cards}, {d.MemoryGB, r.memory}} {
+		if x.need > 0 {
+			n = min(n, int(math.Floor((x.left+slack)/x.need)))
+		}
+	}
+	return max(n, 0)
+}
+
+// take gives up to n tasks of a job room on the machines of a block (-1: of
+// any), and calls fn with how many each block took.
+func (b *board) take(p *plan, zone string, block int, booting bool, n int, fn func(block, n int)) int {
+	taken := 0
+	for _, s := range b.racks {
+		if taken == n {
+			break
+		}
+		if s.booting != booting || (block >= 0 && s.block != block) || len(s.rooms) == 0 || !s.kind.Could(p.desc, zone) {
 			continue
 		}
-		if r.Caches(p.desc.Image) {
-			return r
+		if !s.sorted {
+			// The fullest first, so that others run empty and can be returned.
+			sort.Slice(s.rooms, func(i, k int) bool { return s.rooms[i].cpus < s.rooms[k].cpus })
+			s.sorted = true
+		}
+		here := 0
+		for i := range s.rooms {
+			if taken == n {
+				break
+			}
+			k := min(s.rooms[i].fit(p.desc), n-taken)
+			if k == 0 {
+				continue
+			}
+			s.rooms[i].cpus -= float64(k) * p.desc.CPUs
+			s.rooms[i].cards -= float64(k) * p.desc.Cards
+			s.rooms[i].memory -= float64(k) * p.desc.MemoryGB
+			taken, here = taken+k, here+k
 		}
-		if best == nil {
-			best = r
+		if here > 0 {
+			fn(s.block, here)
+			kept := s.rooms[:0]
+			for _, r := range s.rooms {
+				if r.cpus > slack && r.memory > slack {
+					kept = append(kept, r)
+				}
+			}
+			s.rooms = kept
 		}
 	}
-	return best
+	return taken
 }
 
-// shortest finds the block in whose queues a task should wait: one with a
-// machine that caches its image, else one with any machine for it; none if
-// the queues are long enough.
-func (b *board) shortest(p *plan, zone string) int {
-	best, bestCaches := -1, false
-	var bestLoad float64
-	var seen, caches [tuning.Blocks]bool
-	for _, r := range b.rooms {
-		if r.Could(p.desc, zone) {
-			seen[r.Block] = true
-			caches[r.Block] = caches[r.Block] || (!r.Booting && r.Caches(p.desc.Image))
-		}
-	}
-	for k := range seen {
-		if !seen[k] || (b.queued[k] > 0 && b.queued[k]+p.desc.CPUs > tuning.Ahead*b.cpus[k]) {
-			continue
-		}
-		if load := b.queued[k] / b.cpus[k]; best < 0 || (caches[k] && !bestCaches) || (caches[k] == bestCaches && load < bestLoad) {
-			best, bestCaches, bestLoad = k, caches[k], load
+// serves tells which blocks have a machine that may run a job's tasks.
+func (b *board) serves(p *plan, zone string) []bool {
+	list := make([]bool, len(b.cpus))
+	for _, s := range b.racks {
+		if !list[s.block] && s.kind.Could(p.desc, zone) {
+			list[s.block] = true
 		}
 	}
-	return best
+	return list
 }
 
-// batch is what one hand-out gives to a block of one job.
-type batch struct {
-	plan  *plan
-	block int
-	tasks []int
+// home is the block where most machines cache a job's image.
+func (l *Leader) home(p *plan) int {
+	best := -1
+	for block, n := range l.images[p.desc.Image] {
+		if n > 0 && (best < 0 || n > l.images[p.desc.Image][best]) {
+			best = block
+		}
+	}
+	return best
 }
 
 // handOut hands out as many tasks as the limits and the queues allow, and
 // tells the fleet for which there is no room.
 func (l *Leader) handOut() bool {
+	now := l.rt.Wall().UnixMilli()
+	for _, p := range l.order {
+		// A job that nothing has been done for is not passed over for ever.
+		if late := !p.starved && !p.cancelled && p.placed+p.done == 0 &&
+			now-p.e.At > tuning.StarvedAfter.Milliseconds(); late {
+			p.starved, l.resort = true, true
+		} else if p.starved && p.placed+p.done > 0 {
+			p.starved, l.resort = false, true
+		}
+	}
 	if l.resort {
 		sort.Slice(l.order, func(i, k int) bool { return before(l.order[i], l.order[k]) })
 		l.resort = false
 	}
 	board := l.board()
+	l.pause = tuning.RoundPause + time.Duration(board.number)*tuning.RoundPerMachine
 	var unmet []fleet.Need
 	clear(l.recalls)
+	need := func(p *plan, zone string, n int) {
+		if n > 0 {
+			soft, hard := l.patience(p, now)
+			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Soft: soft, Hard: hard})
+		}
+	}
 	// Tasks already in a block's queues take the room there is in it.
 	for _, p := range l.order {
 		if p.cancelled {
 			continue
 		}
 		for _, q := range l.queues(p) {
-			n := q.number
-			for ; n > 0; n-- {
-				r := board.find(p, q.zone, q.block, false)
-				if r == nil {
-					r = board.find(p, q.zone, q.block, true)
-				}
-				if r == nil {
-					break
-				}
-				r.Take(p.desc)
-				if r.Booting {
-					l.recallFor(board, p, q)
-				}
-			}
-			if n <= 0 {
+			n := q.number - board.take(p, q.zone, q.block, false, q.number, func(int, int) {})
+			if n == 0 {
 				continue
 			}
+			// Another block's open machines are better than this one's booting.
+			n -= l.recallFor(board, p, q, n)
+			n -= board.take(p, q.zone, q.block, true, n, func(int, int) {})
 			board.queued[q.block] += float64(n) * p.desc.CPUs
-			for ; n > 0 && l.recallFor(board, p, q); n-- {
-			}
-			if n > 0 {
-				unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: q.zone, Number: n})
-			}
+			need(p, q.zone, n)
 		}
 	}
 	var batches []*batch
 	full := map[string]bool{}
+	l.reserve()
 	for _, p := range l.order {
 		u := l.usage[p.desc.Team]
 		if p.cancelled || p.ending || p.left() == 0 || u == nil || full[p.desc.Team] {
@@ -137,37 +217,21 @@
 				continue
 			}
 		}
-		if n := float64(p.left()); p.desc.Gang() && (u.cpus+n*p.desc.CPUs > u.cpusMax+1e-9 || u.cards+n*p.desc.Cards > u.cardsMax+1e-9) {
-			full[p.desc.Team] = true // a gang is handed out whole or not at all
-			continue
+		limit := u.cpusMax
+		if p.desc.Priority() < jobs.High && !p.starved {
+			limit -= max(0, u.kept-u.urgent)
 		}
-		held := map[string]int{} // by zone
-		number := 0
-		for k, left := 0, p.left(); left > 0; left-- {
-			if u.cpus+float64(number+1)*p.desc.CPUs > u.cpusMax+1e-9 || u.cards+float64(number+1)*p.desc.Cards > u.cardsMax+1e-9 {
-				full[p.desc.Team] = true
-				break
-			}
-			if number > 0 {
-				// What did not fit for one task does not for the next; the
-				// zones of a spread job take turns.
-				held[work.ZoneOf(p.zones, p.nth(k))]++
-				number++
-				k++
-				continue
-			}
-			zone := work.ZoneOf(p.zones, p.first())
-			block := l.choose(board, p, zone)
-			if block < 0 {
-				held[zone]++
-				number, k = 1, 1
-				continue
-			}
-			batches = l.give(batches, p, block, u)
+		n := min(p.left(), share(limit-u.cpus, p.desc.CPUs), share(u.cardsMax-u.cards, p.desc.Cards))
+		if n < p.left() && (p.desc.Priority() >= jobs.High || p.desc.Gang()) {
+			full[p.desc.Team] = true // lower work does not go past it
 		}
-		for zone, n := range held {
-			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n})
+		if p.desc.Gang() && n < p.left() {
+			continue // a gang is handed out whole or not at all
 		}
+		if n <= 0 {
+			continue
+		}
+		batches = l.place(board, p, u, n, batches, need)
 	}
 	l.fleet.Want(unmet)
 	if len(batches) == 0 {
@@ -177,39 +241,163 @@
 	return true
 }
 
-// choose finds the block for a task, -1 to keep it here.
-func (l *Leader) choose(b *board, p *plan, zone string) int {
-	r := b.find(p, zone, -1, false)
-	if r == nil {
-		r = b.find(p, zone, -1, true)
+// share tells how many tasks of a size fit into what is left.
+func share(left, size float64) int {
+	if size <= 0 {
+		return math.MaxInt32
 	}
-	if r != nil {
-		r.Take(p.desc)
-		return r.Block
+	return max(0, int(math.Floor((left+slack)/size)))
+}
+
+// reserve keeps room under the teams' limits for urgent jobs, as much as their
+// urgent jobs have lately wanted at once: other work, which may run for minutes,
+// would else take the limit up and urgent work would wait for its ends.
+func (l *Leader) reserve() {
+	wants := map[*usage]float64{}
+	for _, p := range l.order {
+		if u := l.usage[p.desc.Team]; u != nil && !p.cancelled && p.desc.Priority() >= jobs.High {
+			wants[u] += float64(p.open+p.left()) * p.desc.CPUs
+		}
 	}
-	block := b.shortest(p, zone)
-	if block >= 0 {
-		b.queued[block] += p.desc.CPUs
+	now := l.rt.Now()
+	for _, u := range l.usage {
+		u.kept *= math.Exp2(-float64(now-u.at) / float64(tuning.KeptHalfLife))
+		u.at = now
+		u.kept = max(u.kept, min(wants[u], tuning.KeptShare*u.cpusMax))
 	}
-	return block
 }
 
-// recallFor asks a block to give a waiting task back when another has an open
-// machine with room for it.
-func (l *Leader) recallFor(b *board, p *plan, q queue) bool {
-	if tuning.Blocks == 1 {
-		return false
+// patience is how many seconds a job's tasks can still wait for a machine
+// before one of the users' aims for it is missed; hard leaves out the aim that
+// work within a guarantee starts at once.
+func (l *Leader) patience(p *plan, nowMS int64) (soft, hard float64) {
+	age := float64(nowMS-p.e.At) / 1000
+	most := tuning.PatienceMost.Seconds()
+	soft, hard = most, most
+	for _, o := range l.set.Deployment.Objectives {
+		left := o.WithinS - age
+		switch {
+		case o.Kind == "guarantee":
+			if p.within && left > 0 {
+				soft = min(soft, left)
+			}
+			continue
+		case o.Class != p.desc.Class:
+			continue
+		case o.Kind == "finished":
+			left -= p.desc.EstimateS
+		case o.Kind == "deadline" && p.desc.DeadlineS != nil:
+			left = *p.desc.DeadlineS*max(o.Times, 1) - p.desc.EstimateS - age
+		case o.Kind != "wait":
+			continue
+		}
+		if left > 0 { // an aim that is missed already is no reason to hurry
+			hard = min(hard, left)
+		}
 	}
-	r := b.find(p, q.zone, -1, false)
-	if r == nil || r.Block == q.block {
-		return false
+	return min(soft, hard), hard
+}
+
+// place finds blocks for up to n tasks of a job: where there is room, at home
+// first, then where machines boot, then in the queues while those are short.
+func (l *Leader) place(b *board, p *plan, u *usage, n int, batches []*batch, need func(*plan, string, int)) []*batch {
+	home := l.home(p)
+	give := func(block, k int) {
+		for range k {
+			batches = l.give(batches, p, block, u)
+		}
+		n -= k
 	}
-	r.Take(p.desc)
-	if l.recalls[q.block] == nil {
-		l.recalls[q.block] = map[string]int{}
+	if len(p.zones) > 1 {
+		// The zones of a spread job take turns, task by task.
+		for n > 0 {
+			zone := work.ZoneOf(p.zones, p.first())
+			if b.take(p, zone, -1, false, 1, give) > 0 || b.take(p, zone, -1, true, 1, give) > 0 {
+				continue
+			}
+			if block := b.shortest(p, zone, home); block >= 0 {
+				b.queued[block] += p.desc.CPUs
+				give(block, 1)
+				continue
+			}
+			break
+		}
+		held := map[string]int{}
+		for k := range n {
+			held[work.ZoneOf(p.zones, p.nth(k))]++
+		}
+		for _, zone := range p.zones {
+			need(p, zone, held[zone])
+		}
+		return batches
 	}
-	l.recalls[q.block][p.e.ID]++
-	return true
+	zone := work.ZoneOf(p.zones, 0)
+	for _, booting := range []bool{false, true} {
+		if home >= 0 && n > 0 {
+			b.take(p, zone, home, booting, n, give)
+		}
+		if n > 0 {
+			b.take(p, zone, -1, booting, n, give)
+		}
+	}
+	need(p, zone, n)
+	for n > 0 {
+		block := b.shortest(p, zone, home)
+		if block < 0 {
+			break
+		}
+		k := min(n, max(1, share(tuning.Ahead*b.cpus[block]-b.queued[block], p.desc.CPUs)))
+		b.queued[block] += float64(k) * p.desc.CPUs
+		give(block, k)
+	}
+	return batches
+}
+
+// shortest finds the block in whose queues a task should wait: home, else the
+// one with the shortest for its size; -1 if the queues are long enough.
+func (b *board) shortest(p *plan, zone string, home int) int {
+	best, least := -1, 0.0
+	for block, ok := range b.serves(p, zone) {
+		if !ok || (b.queued[block] > 0 && b.queued[block]+p.desc.CPUs > tuning.Ahead*b.cpus[block]) {
+			continue
+		}
+		if block == home {
+			return block
+		}
+		if load := b.queued[block] / b.cpus[block]; best < 0 || load < least {
+			best, least = block, load
+		}
+	}
+	return best
+}
+
+// batch is what one hand-out gives to a block of one job.
+type batch struct {
+	plan    *plan
+	block   int
+	tasks   []int
+	retried int
+}
+
+// recallFor asks a block to give waiting tasks back when others have open
+// machines with room for them.
+func (l *Leader) recallFor(b *board, p *plan, q queue, n int) int {
+	if len(b.cpus) == 1 {
+		return 0
+	}
+	found := 0
+	for block := range b.cpus {
+		if block != q.block && found < n {
+			found += b.take(p, q.zone, block, false, n-found, func(int, int) {})
+		}
+	}
+	if found > 0 {
+		if l.recalls[q.block] == nil {
+			l.recalls[q.block] = map[string]int{}
+		}
+		l.recalls[q.block][p.e.ID] += found
+	}
+	return found
 }
 
 // queue is tasks of a job that wait in a block, all for one zone.
@@ -232,8 +420,8 @@
 	}
 	sums := map[queue]int{}
 	add := func(r *work.Record) {
-		for _, i := range r.Index {
-			if _, placed := r.Placed[i]; !placed && !r.Done[i] && !r.Returned[i] {
+		for k, i := range r.Index {
+			if r.Marks[k].State == work.Waiting {
 				sums[queue{block: r.Block, zone: work.ZoneOf(p.zones, i)}]++
 			}
 		}
@@ -255,20 +443,23 @@
 // give puts a job's next task into a batch.
 func (l *Leader) give(batches []*batch, p *plan, block int, u *usage) []*batch {
 	i := p.first()
+	retried := 0
 	if len(p.back) > 0 {
 		p.back = p.back[1:]
+		retried = 1
 	} else {
 		p.next++
 	}
 	u.cpus += p.desc.CPUs // until the batch is counted
 	u.cards += p.desc.Cards
-	for _, b := range batches {
-		if b.plan == p && b.block == block && len(b.tasks) < tuning.ChunkTasks {
+	for k := len(batches) - 1; k >= 0 && batches[k].plan == p; k-- {
+		if b := batches[k]; b.block == block && len(b.tasks) < tuning.ChunkTasks && b.retried+retried <= tuning.RetriedTasks {
 			b.tasks = append(b.tasks, i)
+			b.retried += retried
 			return batches
 		}
 	}
-	return append(batches, &batch{p, block, []int{i}})
+	return append(batches, &batch{p, block, []int{i}, retried})
 }
 
 // takeBack undoes give.
@@ -296,15 +487,8 @@
 	var records []*work.Record
 	for _, b := range batches {
 		sort.Ints(b.tasks)
-		r := &work.Record{Block: b.block, Job: b.plan.e.ID, Number: b.plan.number, Index: b.tasks, Zones: b.plan.zones,
-			Attempts: map[int]uint64{}}
-		r.Key = work.Key(r.Block, r.Job, r.Number)
+		r := work.NewRecord(b.block, b.plan.e.ID, b.plan.number, b.tasks, b.plan.zones, b.plan.attempts)
 		b.plan.number++
-		for _, i := range b.tasks {
-			if a := b.plan.attempts[i]; a > 0 {
-				r.Attempts[i] = a
-			}
-		}
 		value, err := r.Encode()
 		if err != nil {
 			l.log.Error("work record does not encode", "err", err)
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -4,10 +4,12 @@
 package lead
 
 import (
+	"cmp"
 	"encoding/json"
 	"log/slog"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"lemonmoor/internal/engine"
@@ -16,7 +18,6 @@
 	"lemonmoor/internal/jobs"
 	"lemonmoor/internal/ledger"
 	"lemonmoor/internal/settings"
-	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/work"
 )
 
@@ -34,8 +35,9 @@
 	open      int            // handed out, neither done nor returned
 	placed    int            // of those, on machines
 	done      int
-	waiting   [tuning.Blocks]int // of those, in the blocks' queues
+	waiting   []int // of those, in the blocks' queues
 	ending    bool
+	starved   bool // waits for its first task for too long
 }
 
 // left tells how many tasks are not handed out.
@@ -58,10 +60,18 @@
 }
 
 // usage is what a team's open tasks take, and may take.
-type usage struct{ cpus, cards, cpusMax, cardsMax float64 }
+type usage struct {
+	cpus, cards, cpusMax, cardsMax float64
+	urgent                         float64       // processors of those of urgent jobs
+	kept                           float64       // processors kept under the limit for urgent jobs
+	at                             time.Duration // when that was last looked at
+}
 
 // load is what the tasks placed on a machine take.
-type load struct{ cpus, cards, memory float64 }
+type load struct {
+	tasks               int
+	cpus, cards, memory float64
+}
 
 // Leader hands out work while this process holds the lead.
 type Leader struct {
@@ -90,6 +100,9 @@
 	timed   bool
 	last    time.Duration
 	recalls map[int]map[string]int // by block and job
+	images  map[string][]int       // tasks placed, by image and block
+	alone   bool                   // after a failed guard, one end a commit
+	pause   time.Duration          // between two hand-outs
 }
 
 // New returns a leader without the lead.
@@ -107,6 +120,7 @@
 	l.plans, l.order, l.ends, l.stale = map[string]*plan{}, nil, nil, nil
 	l.usage, l.loads = map[string]*usage{}, map[string]*load{}
 	l.pending, l.recalls = map[string]*work.Record{}, map[int]map[string]int{}
+	l.images = map[string][]int{}
 	for _, t := range l.set.Deployment.Teams {
 		l.usage[t.Name] = &usage{cpusMax: t.CPUsMax, cardsMax: t.GPUsMax}
 	}
@@ -154,7 +168,6 @@
 func (l *Leader) build() {
 	l.loaded = true
 	l.cat.Open(func(e *intake.Entry) { l.add(e) })
-	latest := map[string]map[int]*work.Record{}
 	l.store.All(func(r *work.Record) {
 		p := l.plans[r.Job]
 		if p == nil {
@@ -172,24 +185,9 @@
 		if len(r.Zones) > 0 {
 			p.zones = r.Zones
 		}
-		if latest[r.Job] == nil {
-			latest[r.Job] = map[int]*work.Record{}
-		}
-		for _, i := range r.Index {
-			if o := latest[r.Job][i]; o == nil || o.Number < r.Number {
-				latest[r.Job][i] = r
-			}
-		}
 	})
-	for id, of := range latest {
-		p := l.plans[id]
-		for i, r := range of {
-			if r.Returned[i] {
-				p.back = append(p.back, i)
-				p.attempts[i] = r.Attempts[i]
-			}
-		}
-		slices.Sort(p.back)
+	for _, p := range l.plans {
+		l.givenBack(p)
 	}
 	for _, p := range l.plans {
 		l.over(p)
@@ -198,8 +196,29 @@
 	l.log.Info("lead begins", "token", l.token, "jobs", len(l.plans))
 }
 
+// givenBack finds the tasks of a job that its newest records give back.
+func (l *Leader) givenBack(p *plan) {
+	records := make([]*work.Record, 0, 4)
+	for _, r := range l.store.OfJob(p.e.ID) {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b *work.Record) int { return cmp.Compare(a.Number, b.Number) })
+	for _, r := range records {
+		for k, i := range r.Index {
+			if m := r.Marks[k]; m.State == work.Returned {
+				p.attempts[i] = m.Attempt
+				p.back = append(p.back, i)
+			} else if _, was := p.attempts[i]; was {
+				delete(p.attempts, i)
+				p.back = slices.DeleteFunc(p.back, func(o int) bool { return o == i })
+			}
+		}
+	}
+	slices.Sort(p.back)
+}
+
 func (l *Leader) add(e *intake.Entry) *plan {
-	p := &plan{e: e, desc: e.Job, within: l.cat.Within(e), attempts: map[int]uint64{}}
+	p := &plan{e: e, desc: e.Job, within: l.cat.Within(e), attempts: map[int]uint64{}, waiting: make([]int, l.set.Blocks())}
 	l.plans[e.ID] = p
 	l.order = append(l.order, p)
 	l.resort = true
@@ -211,39 +230,59 @@
 	l.order = slices.DeleteFunc(l.order, func(o *plan) bool { return o == p })
 }
 
-// count adds a record to the sums, or takes it off.
+// count adds a record's tasks to the sums, or takes them off.
 func (l *Leader) count(p *plan, r *work.Record, sign int) {
+	for _, m := range r.Marks {
+		l.mark(p, r.Block, m, sign)
+	}
+}
+
+// mark adds a task to the sums, or takes it off.
+func (l *Leader) mark(p *plan, block int, m work.Mark, sign int) {
+	switch m.State {
+	case work.Returned:
+		return
+	case work.Done:
+		p.done += sign
+		return
+	}
 	s := float64(sign)
-	u := l.usage[p.desc.Team]
-	for _, i := range r.Index {
-		if r.Returned[i] {
-			continue
+	p.open += sign
+	if u := l.usage[p.desc.Team]; u != nil {
+		u.cpus += s * p.desc.CPUs
+		u.cards += s * p.desc.Cards
+		if p.desc.Priority() >= jobs.High {
+			u.urgent += s * p.desc.CPUs
 		}
-		if r.Done[i] {
-			p.done += sign
-			continue
-		}
-		p.open += sign
-		if u != nil {
-			u.cpus += s * p.desc.CPUs
-			u.cards += s * p.desc.Cards
+	}
+	if m.State != work.Placed {
+		if block < len(p.waiting) {
+			p.waiting[block] += sign
 		}
-		at, placed := r.Placed[i]
-		if !placed {
-			if r.Block < tuning.Blocks {
-				p.waiting[r.Block] += sign
-			}
-			continue
+		return
+	}
+	p.placed += sign
+	h := l.loads[m.Host]
+	if h == nil {
+		h = &load{}
+		l.loads[m.Host] = h
+	}
+	h.tasks += sign
+	h.cpus += s * p.desc.CPUs
+	h.cards += s * p.desc.Cards
+	h.memory += s * p.desc.MemoryGB
+	if h.tasks == 0 {
+		delete(l.loads, m.Host)
+	}
+	if sign > 0 {
+		of := l.images[p.desc.Image]
+		if of == nil {
+			of = make([]int, l.set.Blocks())
+			l.images[p.desc.Image] = of
 		}
-		p.placed += sign
-		h := l.loads[at.Host]
-		if h == nil {
-			h = &load{}
-			l.loads[at.Host] = h
+		if block < len(of) {
+			of[block]++
 		}
-		h.cpus += s * p.desc.CPUs
-		h.cards += s * p.desc.Cards
-		h.memory += s * p.desc.MemoryGB
 	}
 }
 
@@ -268,43 +307,59 @@
 	}
 }
 
-// RecordChanged takes note of what a block's owner, or this leader, has
-// committed.
-func (l *Leader) RecordChanged(old, now *work.Record) {
+// RecordAdded takes note of a record that this leader, or an earlier one, has
+// made.
+func (l *Leader) RecordAdded(r *work.Record) {
 	if !l.loaded {
 		return
 	}
 	l.wanted = true
-	r := now
-	if r == nil {
-		r = old
-	}
 	p := l.plans[r.Job]
-	if v := l.pending[r.Key]; v != nil && now != nil {
+	if v := l.pending[r.Key]; v != nil {
 		delete(l.pending, r.Key)
 		if p != nil {
 			l.count(p, v, -1)
 		}
 	}
-	if p == nil {
+	if p != nil {
+		l.count(p, r, 1)
+		l.over(p)
+	}
+}
+
+// RecordRemoved takes note of a record that is over.
+func (l *Leader) RecordRemoved(r *work.Record) {
+	if !l.loaded {
 		return
 	}
-	if old != nil {
-		l.count(p, old, -1)
+	l.wanted = true
+	if p := l.plans[r.Job]; p != nil {
+		l.count(p, r, -1)
+		l.over(p)
 	}
-	if now != nil {
-		l.count(p, now, 1)
-		for i := range now.Returned {
-			if old == nil || !old.Returned[i] {
-				p.back = append(p.back, i)
-				p.attempts[i] = now.Attempts[i]
-			}
-		}
-		if old != nil && len(now.Returned) > len(old.Returned) {
-			slices.Sort(p.back)
-		}
+}
+
+// TaskMoved takes note of what a block's owner has logged.
+func (l *Leader) TaskMoved(r *work.Record, k int, was work.Mark) {
+	if !l.loaded {
+		return
+	}
+	p := l.plans[r.Job]
+	if p == nil {
+		return
+	}
+	l.wanted = true
+	now := r.Marks[k]
+	l.mark(p, r.Block, was, -1)
+	l.mark(p, r.Block, now, 1)
+	if now.State == work.Returned && !p.cancelled {
+		i, _ := slices.BinarySearch(p.back, r.Index[k])
+		p.back = slices.Insert(p.back, i, r.Index[k])
+		p.attempts[r.Index[k]] = now.Attempt
+	}
+	if p.open == 0 {
+		l.over(p)
 	}
-	l.over(p)
 }
 
 // over queues a job's end once nothing of it is left to run.
@@ -313,7 +368,9 @@
 		return
 	}
 	if p.cancelled {
-		if p.placed > 0 {
+		// Its owner has to write every task off before the record may go: a
+		// placement that is on its way to the state service would be lost.
+		if p.open > 0 {
 			return
 		}
 	} else if p.desc.Service() || p.done < p.desc.Tasks || p.open > 0 {
@@ -335,7 +392,7 @@
 		return
 	}
 	now := l.rt.Now()
-	if wait := l.last + tuning.RoundPause - now; wait > 0 && l.last > 0 {
+	if wait := l.last + l.pause - now; wait > 0 && l.last > 0 {
 		if !l.timed {
 			l.timed = true
 			term := l.term
@@ -394,114 +451,123 @@
 	})
 }
 
-// end writes the end of one job.
+// end writes the ends of jobs, several in a commit.
 func (l *Leader) end() bool {
-	for len(l.ends) > 0 {
-		p := l.ends[0]
-		l.ends = l.ends[1:]
+	var guards []ledger.Guard
+	var apply []ledger.Change
+	var ended []*plan
+	most := l.set.Deployment.State.TxnOps
+	rest := l.ends[:0:0]
+	for n, p := range l.ends {
 		if l.plans[p.e.ID] != p {
 			continue
 		}
-		if p.cancelled {
-			if l.clearCancelled(p) {
-				return true
-			}
-			continue
+		if len(apply) > 0 && (l.alone || len(apply)+1+len(l.store.OfJob(p.e.ID)) > most) {
+			rest = append(rest, l.ends[n:]...)
+			break
 		}
-		if !l.complete(p) {
-			p.ending = false
+		g, a := l.finish(p, most)
+		if len(a) == 0 {
 			continue
 		}
-		l.finish(p)
-		return true
-	}
-	return false
-}
-
-// complete counts the done tasks once more, each by its number: a job is never
-// called done before all of its tasks are.
-func (l *Leader) complete(p *plan) bool {
-	done := make(map[int]bool, p.desc.Tasks)
-	for _, r := range l.store.OfJob(p.e.ID) {
-		for i := range r.Done {
-			done[i] = true
-		}
-	}
-	return len(done) == p.desc.Tasks
-}
-
-// finish commits the phase that the job's user will be told, and with it the
-// removal of the job's records.
-func (l *Leader) finish(p *plan) {
-	id := p.e.ID
-	e := l.cat.Get(id)
-	if e == nil || e.Phase != "" {
-		p.ending = false
-		return
+		guards, apply, ended = append(guards, g...), append(apply, a...), append(ended, p)
 	}
-	value, err := json.Marshal(intake.Record{Phase: intake.Done, At: e.At, Tasks: p.desc.Tasks})
-	if err != nil {
-		l.log.Error("job record does not encode", "err", err)
-		return
+	l.ends = rest
+	if len(apply) == 0 {
+		return false
 	}
-	apply := []ledger.Change{{Set: intake.Prefix + id, Value: value}}
-	for key := range l.store.OfJob(id) {
-		if len(apply) < l.set.Deployment.State.TxnOps {
-			apply = append(apply, ledger.Change{Remove: key})
+	l.commit(guards, apply, func(r ledger.Result) {
+		l.alone = r.Outcome == ledger.Conflict
+		for _, p := range ended {
+			p.ending = false
 		}
-	}
-	l.commit([]ledger.Guard{{Key: intake.Prefix + id, Stamp: e.Stamp}}, apply, func(r ledger.Result) {
-		p.ending = false
 		switch r.Outcome {
 		case ledger.OK:
-			l.cat.Learn(id, value, r.Epoch)
+			for _, a := range apply {
+				if id, ok := strings.CutPrefix(a.Set, intake.Prefix); ok {
+					l.cat.Learn(id, a.Value, r.Epoch)
+				}
+			}
+			for _, p := range ended {
+				if l.plans[p.e.ID] == p && p.cancelled {
+					l.recheck(p)
+				}
+			}
 		case ledger.Refused:
-			l.later(0, func() { l.over(p) })
-		default:
-			// Cancelled in the meantime, or carried out unseen.
-			term := l.term
-			l.cat.Check(func(error) {
-				if term == l.term && l.plans[id] == p {
+			l.later(0, func() {
+				for _, p := range ended {
 					l.over(p)
 				}
 			})
+		default:
+			// Cancelled in the meantime, or carried out unseen.
+			for _, p := range ended {
+				l.recheck(p)
+			}
 		}
 	})
+	return true
+}
+
+// recheck looks at a job again when the copies are proven to be current.
+func (l *Leader) recheck(p *plan) {
+	term := l.term
+	l.store.Check(func(error) {
+		l.cat.Check(func(error) {
+			if term == l.term && l.plans[p.e.ID] == p {
+				l.over(p)
+			}
+		})
+	})
 }
 
-// clearCancelled removes the records of a cancelled job. Their stamps guard
-// against a placement that its owner commits at the same time.
-func (l *Leader) clearCancelled(p *plan) bool {
+// finish gives the changes that end a job: the phase that its user will be
+// told, and the removal of its records, as many as one commit takes. The tasks
+// of a job are counted once more, each by its number: a job is never called
+// done before all of its tasks are.
+func (l *Leader) finish(p *plan, most int) (guards []ledger.Guard, apply []ledger.Change) {
+	id := p.e.ID
+	records := l.store.OfJob(id)
 	for _, v := range l.pending {
-		if v.Job == p.e.ID {
+		if v.Job == id {
 			p.ending = false // looked at again when the record shows up
-			return false
+			return nil, nil
 		}
 	}
-	var guards []ledger.Guard
-	var apply []ledger.Change
-	for key, r := range l.store.OfJob(p.e.ID) {
-		if len(apply) < l.set.Deployment.State.TxnOps {
-			guards = append(guards, ledger.Guard{Key: key, Stamp: r.Stamp})
-			apply = append(apply, ledger.Change{Remove: key})
+	if !p.cancelled {
+		done := make(map[int]bool, p.desc.Tasks)
+		for _, r := range records {
+			for k, i := range r.Index {
+				if r.Marks[k].State == work.Done {
+					done[i] = true
+				}
+			}
 		}
-	}
-	if len(apply) == 0 {
+		e := l.cat.Get(id)
+		if len(done) != p.desc.Tasks || e == nil || e.Phase != "" {
+			p.ending = false
+			return nil, nil
+		}
+		value, err := json.Marshal(intake.Record{Phase: intake.Done, At: e.At, Tasks: p.desc.Tasks})
+		if err != nil {
+			l.log.Error("job record does not encode", "err", err)
+			return nil, nil
+		}
+		guards = append(guards, ledger.Guard{Key: intake.Prefix + id, Stamp: e.Stamp})
+		apply = append(apply, ledger.Change{Set: intake.Prefix + id, Value: value})
+	} else if len(records) == 0 {
 		l.forget(p)
-		return false
+		return nil, nil
 	}
-	l.commit(guards, apply, func(r ledger.Result) {
-		p.ending = false
-		term := l.term
-		l.later(1, func() {
-			l.store.Check(func(error) {
-				if term == l.term && l.plans[p.e.ID] == p {
-					l.over(p)
-				}
-			})
-		})
-	})
-	return true
+	for key, r := range records {
+		if len(apply) == most {
+			break
+		}
+		guards = append(guards, ledger.Guard{Key: key, Stamp: r.Stamp})
+		apply = append(apply, ledger.Change{Remove: key})
+	}
+	p.ending = true
+	return guards, apply
 }
 
 // sweep removes records of jobs that are over.
@@ -529,6 +595,9 @@
 
 // before orders plans as the owners order jobs.
 func before(a, b *plan) bool {
+	if a.starved != b.starved {
+		return a.starved
+	}
 	if p, q := a.desc.Priority(), b.desc.Priority(); p != q {
 		return p > q
 	}
@@ -541,16 +610,6 @@
 	return a.e.ID < b.e.ID
 }
 
-// Progress tells how many tasks of a job are done and on machines; any node
-// knows that from the records.
-func Progress(store *work.Store, id string) (done, running int) {
-	for _, r := range store.OfJob(id) {
-		done += len(r.Done)
-		running += len(r.Placed)
-	}
-	return done, running
-}
-
 // Recalls takes what a block is asked to give back.
 func (l *Leader) Recalls(block int) []fleet.Recall {
 	var list []fleet.Recall
--- a/internal/ledger/mirror.go
+++ b/internal/ledger/mirror.go
@@ -1,8 +1,10 @@
 package ledger
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"lemonmoor/internal/engine"
@@ -17,7 +19,7 @@
 // before the rows are read anew.
 type Mirror struct {
 	Apply func(key string, value json.RawMessage, stamp uint64)
-	Reset func()
+	Reset func(rows []Row)
 	// Taken is called after every full reading and every change.
 	Taken func()
 	// Pause is how long to rest after changes before the watch is opened
@@ -65,8 +67,10 @@
 			return
 		}
 		if m.Reset != nil {
-			m.Reset()
+			m.Reset(rows)
 		}
+		// In the order of their making, as a watch would have told of them.
+		slices.SortStableFunc(rows, func(a, b Row) int { return cmp.Compare(a.Stamp, b.Stamp) })
 		for _, r := range rows {
 			m.Apply(r.Key, r.Value, r.Stamp)
 		}
--- a/internal/ledger/office.go
+++ b/internal/ledger/office.go
@@ -78,7 +78,7 @@
 		stamps: map[string]uint64{}, holders: map[string]holder{},
 		held: map[int]uint64{}, busy: map[string]bool{}}
 	o.row = NewMirror(rt, led, leasePrefix)
-	o.row.Reset = func() {
+	o.row.Reset = func([]Row) {
 		clear(o.stamps)
 		clear(o.holders)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,6 +5,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -18,6 +19,8 @@
 type Planner struct {
 	// Open tells whether a machine may be given tasks.
 	Open func(*agents.Host) bool
+	// Find finds a machine by its name.
+	Find func(id string) *agents.Host
 	// Place gives a task to a machine.
 	Place func(*work.Task, *agents.Host)
 	// WaitBound is the wait in the extra queue after which a task goes first.
@@ -85,36 +88,70 @@
 	return now >= t.NotBefore && now >= t.Job.NotBefore
 }
 
+// plain tells whether a task may go wherever any other of its job may.
+func plain(t *work.Task) bool { return t.Zone == "" && t.Avoid == "" }
+
+// round is what one placement round works on.
+type round struct {
+	now  time.Duration
+	open []*agents.Host // machines that take tasks
+	free []*agents.Host // those with room, the smallest and fullest first
+	// waiting is one task of each job in the queues, for a quick look at
+	// whether a machine has room for anything at all.
+	waiting []*work.Task
+}
+
 // Round places what can be placed on the machines given.
 func (p *Planner) Round(hosts []*agents.Host, now time.Duration) {
-	var open []*agents.Host
-	byID := map[string]*agents.Host{}
+	r := &round{now: now}
 	for _, h := range hosts {
-		byID[h.ID] = h
-		if p.Open(h) {
-			open = append(open, h)
+		if !p.Open(h) {
+			continue
+		}
+		r.open = append(r.open, h)
+		if cpus, _, memory := h.Free(); cpus > slack && memory > slack {
+			r.free = append(r.free, h)
 		}
 	}
-	p.clean(byID)
-	// The fullest machines first, so that others run empty and can be
-	// returned.
-	sort.SliceStable(open, func(i, k int) bool {
-		a, _, _ := open[i].Free()
-		b, _, _ := open[k].Free()
-		return a < b
-	})
-	p.pull(open, now)
-	p.arrive(open, now)
+	// The smallest first, since large tasks have only the large ones; of those
+	// the fullest, so that others run empty and can be returned.
+	slices.SortStableFunc(r.free, tighter)
+	p.clean(r)
+	p.pull(r)
+	p.arrive(r)
+}
+
+// tighter orders machines with room.
+func tighter(a, b *agents.Host) int {
+	if a.Type.CPUs != b.Type.CPUs {
+		return cmp.Compare(a.Type.CPUs, b.Type.CPUs)
+	}
+	x, _, _ := a.Free()
+	y, _, _ := b.Free()
+	return cmp.Compare(x, y)
 }
 
 // clean removes tasks that no longer wait, and gives back the queues of
 // machines that are gone or take no tasks.
-func (p *Planner) clean(hosts map[string]*agents.Host) {
+func (p *Planner) clean(r *round) {
+	seen := map[*work.Job]bool{}
+	note := func(q []*work.Task) {
+		var last *work.Job
+		for _, t := range q {
+			if t.Job != last || !plain(t) {
+				if last = t.Job; !seen[last] || !plain(t) {
+					seen[last] = true
+					r.waiting = append(r.waiting, t)
+				}
+			}
+		}
+	}
 	dead := func(t *work.Task) bool { return !live(t) }
 	p.extra = slices.DeleteFunc(p.extra, dead)
+	note(p.extra)
 	for id, q := range p.queues {
 		q = slices.DeleteFunc(q, dead)
-		if h := hosts[id]; h == nil || !p.Open(h) {
+		if h := p.Find(id); h == nil || !p.Open(h) {
 			for _, t := range q {
 				t.Queued = false
 				p.arrivals = append(p.arrivals, t)
@@ -125,19 +162,29 @@
 			delete(p.queues, id)
 		} else {
 			p.queues[id] = q
+			note(q)
 		}
 	}
 }
 
 // pull lets the machines take from the queues, one priority after the other.
-func (p *Planner) pull(open []*agents.Host, now time.Duration) {
-	kept := p.overdue(open, now)
+func (p *Planner) pull(r *round) {
+	kept := p.overdue(r)
 	for prio := jobs.Production; prio >= jobs.Low; prio-- {
-		for _, h := range open {
+		var some []*work.Task
+		for _, t := range r.waiting {
+			if t.Job.Desc.Priority() == prio {
+				some = append(some, t)
+			}
+		}
+		if len(some) == 0 {
+			continue
+		}
+		for _, h := range r.free {
 			if kept[h] > prio {
 				continue
 			}
-			for p.pullOne(h, prio, now) {
+			for slices.ContainsFunc(some, func(t *work.Task) bool { return fits(t, h) }) && p.pullOne(h, prio, r.now) {
 			}
 		}
 	}
@@ -145,9 +192,6 @@
 
 // pullOne starts one task of a priority on a machine.
 func (p *Planner) pullOne(h *agents.Host, prio jobs.Priority, now time.Duration) bool {
-	if cpus, _, memory := h.Free(); cpus <= slack || memory <= slack {
-		return false
-	}
 	if i := first(p.queues[h.ID], h, prio, now); i >= 0 {
 		p.place(p.queues[h.ID][i], h)
 		return true
@@ -179,20 +223,26 @@
 	p.Place(t, h)
 }
 
+// candidate tells whether a machine can start a queued task of a priority;
+// skip is a job whose plain tasks are known not to fit.
+func candidate(t *work.Task, h *agents.Host, prio jobs.Priority, now time.Duration, skip **work.Job) bool {
+	if (t.Job == *skip && plain(t)) || !live(t) || t.Job.Desc.Priority() != prio || !due(t, now) {
+		return false
+	}
+	if fits(t, h) {
+		return true
+	}
+	*skip = t.Job // its tasks are alike: if one does not fit, none does
+	return false
+}
+
 // first finds the first task of a queue that the machine can start.
 func first(q []*work.Task, h *agents.Host, prio jobs.Priority, now time.Duration) int {
-	var skip *work.Job // its tasks are alike: if one does not fit, none does
+	var skip *work.Job
 	for i, t := range q {
-		if t.Job == skip && t.Zone == "" && t.Avoid == "" {
-			continue
-		}
-		if !live(t) || t.Job.Desc.Priority() != prio || !due(t, now) {
-			continue
-		}
-		if fits(t, h) {
+		if candidate(t, h, prio, now, &skip) {
 			return i
 		}
-		skip = t.Job
 	}
 	return -1
 }
@@ -201,17 +251,9 @@
 func last(q []*work.Task, h *agents.Host, prio jobs.Priority, now time.Duration) int {
 	var skip *work.Job
 	for i := len(q) - 1; i >= 0; i-- {
-		t := q[i]
-		if t.Job == skip && t.Zone == "" && t.Avoid == "" {
-			continue
-		}
-		if !live(t) || t.Job.Desc.Priority() != prio || !due(t, now) {
-			continue
-		}
-		if fits(t, h) {
+		if candidate(q[i], h, prio, now, &skip) {
 			return i
 		}
-		skip = t.Job
 	}
 	return -1
 }
@@ -219,15 +261,15 @@
 // overdue starts the tasks that have waited past the bound, before anything
 // else. One that fits nowhere keeps the machine where most is free from taking
 // other work of its priority or below, so that its turn comes.
-func (p *Planner) overdue(open []*agents.Host, now time.Duration) map[*agents.Host]jobs.Priority {
+func (p *Planner) overdue(r *round) map[*agents.Host]jobs.Priority {
 	kept := map[*agents.Host]jobs.Priority{}
 	var skip *work.Job
 	for _, t := range p.extra {
-		if !live(t) || now-t.Enqueued < p.WaitBound || !due(t, now) || t.Job == skip {
+		if !live(t) || r.now-t.Enqueued < p.WaitBound || !due(t, r.now) || t.Job == skip {
 			continue
 		}
 		var best *agents.Host
-		for _, h := range open {
+		for _, h := range r.free {
 			if _, taken := kept[h]; !taken && fits(t, h) {
 				best = h
 				break
@@ -239,7 +281,7 @@
 		}
 		skip = t.Job // one machine kept for each job is enough
 		most := -1.0
-		for _, h := range open {
+		for _, h := range r.free {
 			if _, taken := kept[h]; taken || !could(t, h) {
 				continue
 			}
@@ -256,86 +298,97 @@
 
 // arrive places arriving tasks: on a machine with room that caches the image,
 // else on another with room, else in the queue of a caching machine, else in
-// the extra queue.
-func (p *Planner) arrive(open []*agents.Host, now time.Duration) {
-	tasks := p.arrivals
+// the extra queue. The tasks of a job are alike and are placed together.
+func (p *Planner) arrive(r *round) {
+	tasks := slices.DeleteFunc(p.arrivals, func(t *work.Task) bool {
+		return t.State != work.Waiting || t.Job.Cancelled || t.Queued
+	})
 	p.arrivals = nil
-	sort.SliceStable(tasks, func(i, k int) bool { return before(tasks[i], tasks[k]) })
-	var full *work.Job // no machine has room for its tasks
-	for _, t := range tasks {
-		if t.State != work.Waiting || t.Job.Cancelled || t.Queued {
-			continue
+	slices.SortStableFunc(tasks, func(a, b *work.Task) int {
+		switch {
+		case before(a, b):
+			return -1
+		case before(b, a):
+			return 1
 		}
-		if due(t, now) && !(t.Job == full && t.Zone == "" && t.Avoid == "") {
-			var best *agents.Host
-			cached := false
-			for _, h := range open {
-				if !fits(t, h) {
-					continue
-				}
-				has := h.Caches(t.Job.Desc.Image)
-				if best == nil || (has && !cached) || (has == cached && tighter(h, best)) {
-					best, cached = h, has
-				}
-			}
-			if best != nil {
-				p.Place(t, best)
-				continue
-			}
-			full = t.Job
+		return 0
+	})
+	for len(tasks) > 0 {
+		n := 1
+		for plain(tasks[0]) && n < len(tasks) && tasks[n].Job == tasks[0].Job && plain(tasks[n]) &&
+			due(tasks[n], r.now) == due(tasks[0], r.now) {
+			n++
+		}
+		alike := tasks[:n]
+		tasks = tasks[n:]
+		if due(alike[0], r.now) {
+			alike = p.spread(alike, r)
+		}
+		if len(alike) > 0 {
+			p.queue(alike, r)
 		}
-		p.queue(t, open)
 	}
 }
 
-// tighter prefers the machine with less room left.
-func tighter(a, b *agents.Host) bool {
-	x, _, _ := a.Free()
-	y, _, _ := b.Free()
-	return x < y-slack
+// spread starts as many of a job's tasks as there is room for.
+func (p *Planner) spread(tasks []*work.Task, r *round) []*work.Task {
+	image := tasks[0].Job.Desc.Image
+	for _, cached := range []bool{true, false} {
+		for _, h := range r.free {
+			if h.Caches(image) != cached {
+				continue
+			}
+			for len(tasks) > 0 && fits(tasks[0], h) {
+				p.Place(tasks[0], h)
+				tasks = tasks[1:]
+			}
+			if len(tasks) == 0 {
+				return nil
+			}
+		}
+	}
+	return tasks
 }
 
-// queue puts a task into the shortest queue of a machine that caches its
-// image, else into the extra queue.
-func (p *Planner) queue(t *work.Task, open []*agents.Host) {
-	t.Queued = true
-	best, shortest := "", 0
-	for _, h := range open {
-		if !could(t, h) || !h.Caches(t.Job.Desc.Image) {
-			continue
-		}
-		if n := len(p.queues[h.ID]); best == "" || n < shortest {
-			best, shortest = h.ID, n
+// queue puts a job's tasks into the shortest queues of the machines that cache
+// its image, else into the extra queue.
+func (p *Planner) queue(tasks []*work.Task, r *round) {
+	for _, t := range tasks {
+		t.Queued = true
+	}
+	image := tasks[0].Job.Desc.Image
+	var caching []*agents.Host
+	for _, h := range r.open {
+		if h.Caches(image) && could(tasks[0], h) {
+			caching = append(caching, h)
 		}
 	}
-	if best == "" {
-		p.extra = insert(p.extra, t)
+	if len(caching) == 0 {
+		p.extra = insert(p.extra, tasks...)
 		return
 	}
-	p.queues[best] = insert(p.queues[best], t)
-}
-
-// insert keeps a queue in order.
-func insert(q []*work.Task, t *work.Task) []*work.Task {
-	i := sort.Search(len(q), func(i int) bool { return before(t, q[i]) })
-	return slices.Insert(q, i, t)
+	length := func(h *agents.Host) int { return len(p.queues[h.ID]) }
+	slices.SortStableFunc(caching, func(a, b *agents.Host) int { return length(a) - length(b) })
+	for level := length(caching[0]); len(tasks) > 0; level++ {
+		for _, h := range caching {
+			if len(tasks) == 0 || length(h) > level {
+				break
+			}
+			p.queues[h.ID] = insert(p.queues[h.ID], tasks[0])
+			tasks = tasks[1:]
+		}
+	}
 }
 
-// Waiting returns the tasks in the queues, in order.
-func (p *Planner) Waiting() []*work.Task {
-	var all []*work.Task
-	for _, t := range p.extra {
-		if live(t) {
-			all = append(all, t)
-		}
+// insert keeps a queue in order; the tasks are in order and of one job.
+func insert(q []*work.Task, tasks ...*work.Task) []*work.Task {
+	i := sort.Search(len(q), func(i int) bool { return before(tasks[0], q[i]) })
+	if i == len(q) || q[i].Job != tasks[0].Job {
+		return slices.Insert(q, i, tasks...)
 	}
-	for _, q := range p.queues {
-		for _, t := range q {
-			if live(t) {
-				all = append(all, t)
-			}
-		}
+	for _, t := range tasks {
+		i := sort.Search(len(q), func(i int) bool { return before(t, q[i]) })
+		q = slices.Insert(q, i, t)
 	}
-	sort.SliceStable(all, func(i, k int) bool { return before(all[i], all[k]) })
-	return all
+	return q
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -272,6 +272,17 @@
 	return max(0, min(room, tuning.HoldMax))
 }
 
+// Blocks is the number of blocks that the machines are divided into: one for
+// so many guaranteed processors, at most one for each controller. It follows
+// from what all controllers are given alike.
+func (s *Settings) Blocks() int {
+	cpus := 0.0
+	for _, t := range s.Deployment.Teams {
+		cpus += t.CPUs
+	}
+	return max(1, min(int(cpus/tuning.BlockCPUs), len(s.Seeds)+1))
+}
+
 // WaitBound is the longest wait in the extra queue before a task goes first.
 func (s *Settings) WaitBound() time.Duration {
 	if v := s.Operator.WaitBoundS; v != nil {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -77,14 +77,25 @@
 
 // Work records.
 const (
-	// ChunkTasks is the number of tasks in one record. A placed task takes
-	// about 40 bytes, so a record stays below half of the smallest value
-	// limit seen (8 KiB).
-	ChunkTasks = 64
-	// Blocks is the number of blocks that the machines are divided into, by
-	// their names. A machine never changes its block, so that its tokens only
-	// grow; changing the number needs an empty cluster.
-	Blocks = 1
+	// ChunkTasks is the most tasks in one record. A record names its tasks in
+	// runs; a thousand apart from each other still take less than 6 KB.
+	ChunkTasks = 1000
+	// RetriedTasks is the most tasks in one record that have been handed out
+	// before: each may take 20 bytes, with its last attempt.
+	RetriedTasks = 200
+	// PageBytes is the most that a page of a block's log holds. Larger values
+	// are allowed on some sites; they would save few changes and cost every
+	// node the reading.
+	PageBytes = 7 * 1024
+	// ValueShare of the state service's limit for a value is used.
+	ValueShare = 0.9
+	// LogPages is the length of a block's log, in pages, from which on old
+	// pages are emptied. A takeover reads them in one listing.
+	LogPages = 96
+	// BlockCPUs is how many guaranteed processors call for one more block.
+	// Several blocks cost room that is scarce at a hundred machines, and share
+	// the reports of thousands among the controllers.
+	BlockCPUs = 8000
 )
 
 // Users.
@@ -147,8 +158,20 @@
 	// Ahead is how much work may wait in a block's queues, as a part of its
 	// machines' processors; the rest waits with the leader, free for any block.
 	Ahead = 0.5
-	// RoundPause is the least time between two placement rounds.
+	// RoundPause is the least time between two placement rounds, or hand-outs.
 	RoundPause = 25 * time.Millisecond
+	// RoundPerMachine is added to it for every machine: a round looks at all of
+	// them, which takes some 0.1 µs each, and may take no more than a few
+	// thousandths of a core.
+	RoundPerMachine = 50 * time.Microsecond
+	// StarvedAfter is how long a job waits for its first task before it goes
+	// before all others. The users fail a day on which the largest jobs do not
+	// begin within four minutes; a task may run for two before one ends.
+	StarvedAfter = 75 * time.Second
+	// KeptShare is the most of a team's limit that is kept for its urgent jobs.
+	KeptShare = 0.35
+	// KeptHalfLife is how fast their past wants are forgotten.
+	KeptHalfLife = 150 * time.Second
 )
 
 // Cloud.
@@ -179,6 +202,15 @@
 	// those there are busy for longer than this part of a boot; a queue that is
 	// gone by then needs none.
 	RentBacklog = 0.5
+	// PatienceShare is the part of the time that the users' aims leave which a
+	// queue may take: estimates are often wrong by half.
+	PatienceShare = 0.5
+	// PatienceMost bounds the wait of work for which there is no aim.
+	PatienceMost = 120 * time.Second
+	// LargeDear is what a machine counts dearer for each doubling of its
+	// processors: at about the same price, large machines are left to large
+	// tasks.
+	LargeDear = 0.05
 	// ForgetReturned is how long a returned machine is remembered: longer
 	// than a list lags or an owner stays cut off.
 	ForgetReturned = 15 * time.Minute
--- /dev/null
+++ b/internal/work/page.go
@@ -0,0 +1,164 @@
+package work
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"lemonmoor/internal/jobs"
+)
+
+// A page of a block's log tells what has become of tasks of any records of the
+// block since those pages before it. One page, one change of one key, takes as
+// many tasks as there are to tell of, so the changes a second do not grow with
+// the tasks a second. A page whose every word is superseded is written over.
+
+// entry is what a page says of the tasks of one record.
+type entry struct {
+	Record   string            `json:"c"` // JOB/NUMBER
+	Placed   map[string]string `json:"p,omitempty"`
+	Waiting  string            `json:"w,omitempty"`
+	Returned string            `json:"r,omitempty"`
+	Done     string            `json:"d,omitempty"`
+}
+
+type storedPage struct {
+	Entries []entry `json:"e"`
+}
+
+// overhead is how many bytes JSON adds to an entry's parts; runBytes is the
+// most that one run takes, with a task's and an attempt's usual length twice
+// allowed for.
+const (
+	overhead = 48
+	runBytes = 24
+)
+
+// Pack writes tasks on pages of at most limit bytes, at most most of them. It
+// orders the list; tasks past the last full page are left over.
+func Pack(tasks []*Task, limit, most int) (pages []json.RawMessage, on [][]*Task, rest []*Task, err error) {
+	slices.SortFunc(tasks, func(a, b *Task) int {
+		if a.Chunk != b.Chunk {
+			return strings.Compare(a.Chunk.Key, b.Chunk.Key)
+		}
+		return cmp.Compare(a.Index, b.Index)
+	})
+	for start := 0; start < len(tasks); {
+		if len(pages) == most {
+			return pages, on, tasks[start:], nil
+		}
+		var p storedPage
+		size, end := overhead, start
+		for end < len(tasks) && size < limit {
+			var e entry
+			var n int
+			e, n, size = entryOf(tasks[end:], size, limit)
+			if n == 0 {
+				break
+			}
+			p.Entries = append(p.Entries, e)
+			end += n
+		}
+		raw, err := json.Marshal(p)
+		if err != nil {
+			return nil, nil, nil, fmt.Errorf("log page: %w", err)
+		}
+		pages, on = append(pages, raw), append(on, tasks[start:end])
+		start = end
+	}
+	return pages, on, nil, nil
+}
+
+// entryOf takes the first tasks of one record, as many as fit.
+func entryOf(tasks []*Task, size, limit int) (e entry, n, total int) {
+	c := tasks[0].Chunk
+	e.Record = c.Job.Desc.ID + "/" + strconv.Itoa(c.Number)
+	size += overhead + len(e.Record)
+	var waiting, returned, done runsOf
+	placed := map[string]*runsOf{}
+	for _, t := range tasks {
+		if t.Chunk != c {
+			break
+		}
+		cost, attempt, to := 0, t.Attempt, &waiting
+		switch t.State {
+		case Placed:
+			if to = placed[t.Host]; to == nil {
+				to = &runsOf{}
+				cost = len(t.Host) + 8
+			}
+		case Returned, Dropped:
+			to = &returned
+		case Done:
+			to, attempt = &done, usual
+		}
+		if !to.extends(t.Index, attempt) {
+			cost += runBytes
+		}
+		if size+cost > limit {
+			break
+		}
+		if t.State == Placed {
+			placed[t.Host] = to
+		}
+		to.add(t.Index, attempt)
+		size += cost
+		n++
+	}
+	if len(placed) > 0 {
+		e.Placed = make(map[string]string, len(placed))
+		for host, r := range placed {
+			e.Placed[host] = r.String()
+		}
+	}
+	e.Waiting, e.Returned, e.Done = waiting.String(), returned.String(), done.String()
+	return e, n, size
+}
+
+// readPage calls fn for each task that a page tells of.
+func readPage(value json.RawMessage, fn func(job string, number, task int, m Mark)) error {
+	var p storedPage
+	if err := json.Unmarshal(value, &p); err != nil {
+		return fmt.Errorf("log page: %w", err)
+	}
+	type word struct {
+		job          string
+		number, task int
+		mark         Mark
+	}
+	var words []word // nothing of a malformed page is taken in
+	for _, e := range p.Entries {
+		job, num, _ := strings.Cut(e.Record, "/")
+		number, err := strconv.Atoi(num)
+		if err != nil || number < 0 || !jobs.ValidID(job) {
+			return fmt.Errorf("log page: not a record: %q", e.Record)
+		}
+		runs := func(text string, m Mark) {
+			if err == nil {
+				err = parseRuns(text, jobs.MaxTasks, func(r run) error {
+					m.Attempt = r.attempt
+					for i := r.first; i <= r.last; i++ {
+						words = append(words, word{job, number, i, m})
+					}
+					return nil
+				})
+			}
+		}
+		for host, text := range e.Placed {
+			runs(text, Mark{State: Placed, Host: host})
+		}
+		runs(e.Waiting, Mark{State: Waiting})
+		runs(e.Returned, Mark{State: Returned})
+		runs(e.Done, Mark{State: Done})
+		if err != nil {
+			return fmt.Errorf("log page: %s: %w", e.Record, err)
+		}
+	}
+	for _, w := range words {
+		fn(w.job, w.number, w.task, w.mark)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/work/store.go
@@ -0,0 +1,173 @@
+package work
+
+import (
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"lemonmoor/internal/engine"
+	"lemonmoor/internal/ledger"
+)
+
+// Store is every node's copy of all records and of what the pages say of their
+// tasks, fed by a watch.
+type Store struct {
+	// Added and Removed tell of records, Moved of a task of one that was
+	// marked otherwise before.
+	Added   func(*Record)
+	Removed func(*Record)
+	Moved   func(r *Record, position int, was Mark)
+
+	mirror  *ledger.Mirror
+	records map[string]*Record
+	byJob   map[string]map[string]*Record
+	sums    map[string]*sum
+	log     *slog.Logger
+}
+
+// sum is what users are shown of a job.
+type sum struct{ done, placed int }
+
+// NewStore returns an empty store.
+func NewStore(rt engine.Runtime, led *ledger.Client, log *slog.Logger) *Store {
+	s := &Store{Added: func(*Record) {}, Removed: func(*Record) {}, Moved: func(*Record, int, Mark) {},
+		records: map[string]*Record{}, byJob: map[string]map[string]*Record{}, sums: map[string]*sum{}, log: log}
+	s.mirror = ledger.NewMirror(rt, led, Prefix)
+	s.mirror.Apply = s.apply
+	s.mirror.Reset = func(rows []ledger.Row) {
+		// What is there still is not taken away and brought back: an owner
+		// would lose sight of the tasks on its machines.
+		there := make(map[string]bool, len(rows))
+		for _, r := range rows {
+			there[r.Key] = true
+		}
+		for key := range s.records {
+			if !there[key] {
+				s.apply(key, nil, 0)
+			}
+		}
+	}
+	return s
+}
+
+// Pace sets how long to rest between changes.
+func (s *Store) Pace(pause func() time.Duration) { s.mirror.Pause = pause }
+
+// Start begins to read the records.
+func (s *Store) Start() { s.mirror.Start() }
+
+// Check calls fn when the store is proven to be current.
+func (s *Store) Check(fn func(error)) { s.mirror.Check(fn) }
+
+func (s *Store) apply(key string, value json.RawMessage, stamp uint64) {
+	block, job, number, err := parseKey(key)
+	if err != nil {
+		s.log.Error("work record has a strange key", "err", err)
+		return
+	}
+	if job == logName {
+		if value != nil {
+			s.read(block, number, value)
+		}
+		return
+	}
+	old := s.records[key]
+	if value == nil {
+		if old != nil {
+			delete(s.records, key)
+			delete(s.byJob[old.Job], key)
+			for _, m := range old.Marks {
+				s.count(job, m, -1)
+			}
+			if len(s.byJob[old.Job]) == 0 {
+				delete(s.byJob, old.Job)
+				delete(s.sums, old.Job)
+			}
+			s.Removed(old)
+		}
+		return
+	}
+	if old != nil {
+		return // records are written once; it was read before
+	}
+	r, err := Decode(key, value, stamp)
+	if err != nil {
+		s.log.Error("work record does not parse", "err", err)
+		return
+	}
+	s.records[key] = r
+	if s.byJob[r.Job] == nil {
+		s.byJob[r.Job] = map[string]*Record{}
+	}
+	s.byJob[r.Job][key] = r
+	for _, m := range r.Marks {
+		s.count(job, m, 1)
+	}
+	s.Added(r)
+}
+
+// read takes a page in. Words on records that are gone mean nothing any more.
+func (s *Store) read(block, page int, value json.RawMessage) {
+	var r *Record
+	err := readPage(value, func(job string, number, task int, m Mark) {
+		if r == nil || r.Job != job || r.Number != number {
+			r = s.records[Key(block, job, number)]
+		}
+		if r == nil {
+			return
+		}
+		k := r.position(task)
+		if k < 0 {
+			s.log.Error("log page names a strange task", "record", r.Key, "task", task)
+			return
+		}
+		was := r.Marks[k]
+		switch {
+		case m == was || (m.State == Done && was.State == Done):
+			r.Pages[k] = int32(page) // copied from a page that is to be written over
+		case m.after(was):
+			r.Marks[k], r.Pages[k] = m, int32(page)
+			s.count(job, was, -1)
+			s.count(job, m, 1)
+			s.Moved(r, k, was)
+		}
+	})
+	if err != nil {
+		s.log.Error("log page does not parse", "block", block, "page", page, "err", err)
+	}
+}
+
+func (s *Store) count(job string, m Mark, sign int) {
+	n := s.sums[job]
+	if n == nil {
+		n = &sum{}
+		s.sums[job] = n
+	}
+	switch m.State {
+	case Done:
+		n.done += sign
+	case Placed:
+		n.placed += sign
+	}
+}
+
+// Progress tells how many tasks of a job are done and on machines.
+func (s *Store) Progress(job string) (done, placed int) {
+	if n := s.sums[job]; n != nil {
+		return n.done, n.placed
+	}
+	return 0, 0
+}
+
+// Get finds a record.
+func (s *Store) Get(key string) *Record { return s.records[key] }
+
+// All calls fn for every record.
+func (s *Store) All(fn func(*Record)) {
+	for _, r := range s.records {
+		fn(r)
+	}
+}
+
+// OfJob returns the records of a job.
+func (s *Store) OfJob(job string) map[string]*Record { return s.byJob[job] }
--- /dev/null
+++ b/internal/work/task.go
@@ -0,0 +1,143 @@
+package work
+
+import (
+	"strconv"
+	"time"
+
+	"lemonmoor/internal/jobs"
+)
+
+// State of a task, for the block's owner.
+type State uint8
+
+const (
+	// Waiting: on no machine.
+	Waiting State = iota
+	// Placed: given to a machine, or may still be on one.
+	Placed
+	// Done: completed.
+	Done
+	// Dropped: will not run here, and is on no machine.
+	Dropped
+	// Returned to the leader, and on no machine.
+	Returned
+)
+
+// Task is one task that has been handed to a block.
+type Task struct {
+	Job   *Job
+	Chunk *Chunk
+	Index int
+	State State
+	// Page of the log that tells of it, -1 for none; Dirty: it has changed since.
+	Page  int
+	Dirty bool
+	// Attempt is the last one used; attempts are never used twice.
+	Attempt uint64
+	// Host is the machine that has, or may have, the task while it is Placed.
+	Host string
+
+	// Durable: the placement is committed, so the launch may be sent.
+	Durable bool
+	// DoneDurable: the completion is committed, so the machine may forget it.
+	DoneDurable bool
+	// Sent: a launch has left, or may have left under an earlier token. Each
+	// launch leaves in exactly one message.
+	Sent bool
+	// Flying: that message is a direct order not answered yet.
+	Flying bool
+	// Doubt: it is a direct order that got no answer. It may be carried out
+	// any time until the worker has seen a higher token.
+	Doubt bool
+	// A report that does not list the task proves it gone only at MinToken
+	// or higher and, within the session Shift, after Tick.
+	MinToken, Shift, Tick uint64
+	// Seen: listed in a report.
+	Seen     bool
+	Running  bool
+	Since    time.Duration // when it was first seen running
+	Stopping bool          // a halt has been decided
+	WindDown float64
+
+	// For the queues.
+	Queued    bool
+	Enqueued  time.Duration
+	NotBefore time.Duration
+	Avoid     string // a machine that failed it
+	Zone      string // fixed at hand-out, "" for any
+}
+
+// Ref names a task on the wire.
+func (t *Task) Ref() string { return t.Job.Desc.ID + "/" + strconv.Itoa(t.Index) }
+
+// Job is a job of which a block has tasks.
+type Job struct {
+	Desc      *jobs.Description
+	Submitted int64 // ms since the epoch, by the accepting node's clock
+	Within    bool  // see lead: fits its team's guarantee
+	Cancelled bool
+	Tasks     map[int]*Task
+	Chunks    map[string]*Chunk
+	Errors    int           // failures in a row
+	NotBefore time.Duration // pause after failures
+}
+
+// Before orders jobs: priority, then work within a guarantee, then age.
+func Before(a, b *Job) bool {
+	if p, q := a.Desc.Priority(), b.Desc.Priority(); p != q {
+		return p > q
+	}
+	if a.Within != b.Within {
+		return a.Within
+	}
+	if a.Submitted != b.Submitted {
+		return a.Submitted < b.Submitted
+	}
+	return a.Desc.ID < b.Desc.ID
+}
+
+// Chunk is the owner's working copy of a record.
+type Chunk struct {
+	Job    *Job
+	Key    string
+	Number int
+	Tasks  []*Task
+	Zones  []string
+	Open   int // tasks that are neither done nor given back
+}
+
+// Load makes an owner's working copy of a record. Every placement in it is one
+// that an earlier token's launch may have carried out.
+func Load(j *Job, r *Record) *Chunk {
+	c := &Chunk{Job: j, Key: r.Key, Number: r.Number, Zones: r.Zones, Tasks: make([]*Task, len(r.Index))}
+	tasks := make([]Task, len(r.Index))
+	for k, i := range r.Index {
+		m := r.Marks[k]
+		t := &tasks[k]
+		*t = Task{Job: j, Chunk: c, Index: i, State: m.State, Attempt: m.Attempt, Host: m.Host, Page: int(r.Pages[k]), Zone: ZoneOf(r.Zones, i)}
+		switch m.State {
+		case Done:
+			t.DoneDurable = true
+		case Placed:
+			t.Durable, t.Sent = true, true
+		}
+		if m.State == Waiting || m.State == Placed {
+			c.Open++
+		}
+		c.Tasks[k] = t
+		if t.State != Returned {
+			j.Tasks[i] = t // a returned task may be back in a later record
+		}
+	}
+	j.Chunks[c.Key] = c
+	return c
+}
+
+// ZoneOf is the zone fixed for a task, "" for any: one for samePlace, in turn
+// for spread.
+func ZoneOf(zones []string, index int) string {
+	if len(zones) == 0 {
+		return ""
+	}
+	return zones[index%len(zones)]
+}
