--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -144,6 +144,9 @@
 	// Behind is tasks of the job that the team's limit holds back: they cannot
 	// use more machines now, but are part of the queue.
 	Behind int
+	// Below is the processors that run work of lower priority. They do not come
+	// free at the pace of this work, so they are no help to it.
+	Below float64
 	// Soft and Hard are how many seconds they can wait before an aim of the
 	// users is missed; Hard leaves out the aim for work within a guarantee.
 	Soft, Hard float64
@@ -639,7 +642,7 @@
 					cpus += c
 				}
 			}
-			k, number := f.choose(n, queued, cpus, f.needs[i:])
+			k, number := f.choose(n, queued, max(0, cpus-n.Below), f.needs[i:])
 			if number == 0 {
 				break
 			}
