Room under a team's limit is kept for urgent jobs from the first task on

Cause: 500 to 600 rushtint tasks waited at the leader for minutes while machines had room; their teams' limits were taken up by tintbatch, handed out before any rushtint had come.

--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -18,6 +18,7 @@
 	"lemonmoor/internal/jobs"
 	"lemonmoor/internal/ledger"
 	"lemonmoor/internal/settings"
+	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/work"
 )
 
@@ -122,7 +123,7 @@
 	l.pending, l.recalls = map[string]*work.Record{}, map[int]map[string]int{}
 	l.images = map[string][]int{}
 	for _, t := range l.set.Deployment.Teams {
-		l.usage[t.Name] = &usage{cpusMax: t.CPUsMax, cardsMax: t.GPUsMax}
+		l.usage[t.Name] = &usage{cpusMax: t.CPUsMax, cardsMax: t.GPUsMax, kept: tuning.KeptShare * t.CPUsMax, at: l.rt.Now()}
 	}
 }
 
