--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -290,8 +290,7 @@
 // work within a guarantee starts at once.
 func (l *Leader) patience(p *plan, nowMS int64) (soft, hard float64) {
 	age := float64(nowMS-p.e.At) / 1000
-	most := tuning.PatienceMost.Seconds()
-	soft, hard = most, most
+	soft, hard = tuning.PatienceMost.Seconds(), tuning.MissedPatience.Seconds()
 	for _, o := range l.set.Deployment.Objectives {
 		left := o.WithinS - age
 		switch {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -216,6 +216,9 @@
 	PatienceShare = 0.5
 	// PatienceMost bounds the wait of work for which there is no aim.
 	PatienceMost = 120 * time.Second
+	// MissedPatience is the same for dear machines: work that has missed its
+	// aims, or has none, is left to the cheap ones unless they would take long.
+	MissedPatience = 600 * time.Second
 	// LargeDear is what a machine counts dearer for each doubling of its
 	// processors: at about the same price, large machines are left to large
 	// tasks.
