--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -65,6 +65,7 @@
 		}
 	}
 	n.led = ledger.New(rt, set.External.State, log)
+	n.led.CheckEvery = set.CheckEvery()
 	n.office = ledger.NewOffice(rt, n.led, log, set.Node, nonce, rank, set.Blocks())
 	n.cat = intake.NewCatalog(rt, n.led, set.Deployment.Teams, log)
 	n.store = work.NewStore(rt, n.led, log)
@@ -110,9 +111,9 @@
 	n.store.Moved = n.leader.TaskMoved
 	pace := func() time.Duration {
 		if n.office.Lead() != 0 || n.owning() {
-			return 0
+			return set.WatchPause()
 		}
-		return tuning.PassivePause
+		return max(tuning.PassivePause, set.WatchPause())
 	}
 	n.store.Pace(pace)
 	n.cat.Pace(pace)
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -69,11 +69,13 @@
 	// LastAnswer is when the service last answered anything but a refusal.
 	LastAnswer time.Duration
 	Answered   bool
+	// CheckEvery is the least time between two freshness checks of a copy.
+	CheckEvery time.Duration
 }
 
 // New returns a client of the state service at addr.
 func New(rt engine.Runtime, addr string, log *slog.Logger) *Client {
-	return &Client{rt: rt, addr: addr, log: log}
+	return &Client{rt: rt, addr: addr, log: log, CheckEvery: tuning.CheckEvery}
 }
 
 // call sends one request and sorts the ways it can end.
--- a/internal/ledger/mirror.go
+++ b/internal/ledger/mirror.go
@@ -33,6 +33,8 @@
 	ready  bool
 	life   int // grows with every full reading; late answers of old ones are dropped
 
+	next      time.Duration // when the watch may be opened again, see rest
+
 	waiting   []func(error)
 	checking  bool
 	planned   bool
@@ -92,7 +94,7 @@
 			m.take(events, epoch)
 			pause := time.Duration(0)
 			if m.Pause != nil && len(events) > 0 {
-				pause = m.Pause()
+				pause = m.rest(m.Pause())
 			}
 			if pause == 0 {
 				m.follow(life, 0)
@@ -115,6 +117,14 @@
 	})
 }
 
+// rest is how long to rest now, so that rests of the length given are kept on
+// average: after a quiet time the first changes are followed at once.
+func (m *Mirror) rest(pause time.Duration) time.Duration {
+	now := m.rt.Now()
+	m.next = max(m.next, now-tuning.WatchBurst*pause) + pause
+	return max(0, m.next-now)
+}
+
 // take applies the changes up to an epoch. The long watch and the checks
 // overlap; what the mirror has reached already is skipped.
 func (m *Mirror) take(events []Event, epoch uint64) {
@@ -154,7 +164,7 @@
 	}
 	pause := time.Duration(0)
 	if m.checked {
-		pause = max(0, m.lastCheck+tuning.CheckEvery-m.rt.Now())
+		pause = max(0, m.lastCheck+m.led.CheckEvery-m.rt.Now())
 	}
 	if pause == 0 {
 		m.check()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -283,6 +283,20 @@
 	return max(1, min(int(cpus/tuning.BlockCPUs), len(s.Seeds)+1))
 }
 
+// CheckEvery is the least time between two freshness checks of one node: all
+// nodes' together take a part of the state service's requests.
+func (s *Settings) CheckEvery() time.Duration {
+	return max(tuning.CheckEvery, seconds(float64(len(s.Seeds)+1)/(tuning.CheckShare*s.Deployment.State.RPS)))
+}
+
+// WatchPause is how long a node that leads or owns a block rests after changes
+// before it watches on, for the same reason; the leader and every owner keep
+// two copies current.
+func (s *Settings) WatchPause() time.Duration {
+	active := 2 * min(s.Blocks()+1, len(s.Seeds)+1)
+	return seconds(float64(active) / (tuning.WatchShare * s.Deployment.State.RPS))
+}
+
 // WaitBound is the longest wait in the extra queue before a task goes first.
 func (s *Settings) WaitBound() time.Duration {
 	if v := s.Operator.WaitBoundS; v != nil {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -59,8 +59,16 @@
 	// after changes before it watches on; its answers are checked anyway.
 	PassivePause = 500 * time.Millisecond
 	// CheckEvery is the least time between two batched freshness checks of
-	// one node; polls in between share a check.
+	// one node; polls in between share a check. Where requests are scarce it is
+	// longer, so that all nodes' checks take CheckShare of them.
 	CheckEvery = 150 * time.Millisecond
+	CheckShare = 0.2
+	// WatchShare is the part of the requests that the watches of the leader and
+	// the owners take: a watch ends with each change and is opened anew.
+	WatchShare = 0.4
+	// WatchBurst is how many changes in a row are followed at once after a quiet
+	// time. The service allows bursts of one second's worth of requests.
+	WatchBurst = 6
 	// ListPage is the number of rows asked for in one listing.
 	ListPage = 1000
 	// WriteShare is the part of the state service's write budget that an
