--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -630,6 +630,10 @@
 		n := &f.needs[i]
 		behind[n.Desc.Team] += float64(n.Behind) * n.Desc.CPUs * max(n.Desc.EstimateS, 1)
 	}
+	// First all that is wanted, then the calls: a call for each need was small,
+	// and calls are few.
+	var order []Kind
+	wanted := map[Kind]int{}
 	var before float64 // seconds of one processor, of the needs so far
 	for i := range f.needs {
 		n := &f.needs[i]
@@ -642,16 +646,24 @@
 					cpus += c
 				}
 			}
-			k, number := f.choose(n, queued, max(0, cpus-n.Below), f.needs[i:])
+			k, number := f.choose(n, queued, max(0, cpus-n.Below), f.needs[i:], wanted)
 			if number == 0 {
 				break
 			}
+			if wanted[k] == 0 {
+				order = append(order, k)
+			}
+			have[k] += float64(number) * f.Type(k.Build).CPUs
+			wanted[k] += number
+		}
+	}
+	for _, k := range order {
+		for left := wanted[k]; left > 0; left -= tuning.HireMax {
 			if !f.afford() {
 				return
 			}
 			f.counter++
-			have[k] += float64(number) * f.Type(k.Build).CPUs
-			f.hire(term, hire{fmt.Sprintf("r-%d-%d", f.office.Lead(), f.counter), k.Build, k.Zone, k.Spot, number}, 0)
+			f.hire(term, hire{fmt.Sprintf("r-%d-%d", f.office.Lead(), f.counter), k.Build, k.Zone, k.Spot, min(left, tuning.HireMax)}, 0)
 		}
 	}
 }
@@ -659,7 +671,7 @@
 // choose finds the kind of machine that does the waiting work at the least
 // price, and how many of it are wanted; none if the work can wait. queued is
 // the work up to this need, cpus what can do it.
-func (f *Fleet) choose(n *Need, queued, cpus float64, needs []Need) (best Kind, number int) {
+func (f *Fleet) choose(n *Need, queued, cpus float64, needs []Need, wanted map[Kind]int) (best Kind, number int) {
 	now := f.rt.Now()
 	bestCost, bestWait := math.Inf(1), 0.0
 	for i := range f.types {
@@ -667,7 +679,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				k := Kind{t.Label, zone, spot}
-				if now < f.pauses[k] || !f.empty(k).Could(n.Desc, n.Zone) {
+				if now < f.pauses[k] || wanted[k] >= tuning.HireAhead || !f.empty(k).Could(n.Desc, n.Zone) {
 					continue
 				}
 				price, wait := t.Price, f.wait(n.Hard, t, n.Desc)
@@ -698,7 +710,7 @@
 			fill += float64(m.Number) * m.cpus(t)
 		}
 	}
-	return best, max(1, min(number, int(math.Ceil(fill/t.CPUs)), tuning.HireMax))
+	return best, max(1, min(number, int(math.Ceil(fill/t.CPUs)), tuning.HireAhead-wanted[best]))
 }
 
 // wait is how long a queue may be before a machine of a type is worth its boot,
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -196,7 +196,7 @@
 	// CloudTimeout is when a cloud request counts as unanswered.
 	CloudTimeout = 5 * time.Second
 	// CloudShare is the part of the cloud's call budget that the leader uses.
-	CloudShare = 0.7
+	CloudShare = 0.9
 	// FleetRound is the time between two looks at what to rent and return.
 	FleetRound = 1 * time.Second
 	// ListEvery is the time between two machine lists.
@@ -234,6 +234,9 @@
 	// ForgetReturned is how long a returned machine is remembered: longer
 	// than a list lags or an owner stays cut off.
 	ForgetReturned = 15 * time.Minute
+	// HireAhead is the most machines of a kind that one look plans to rent; how
+	// many there are shows only when a request is filled in part.
+	HireAhead = 200
 	// HireMax is the most machines of one request (PROTOCOL: 50).
 	HireMax = 50
 )
