--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -117,7 +117,8 @@
 		}
 	}
 	// The smallest first, since large tasks have only the large ones; of those
-	// the fullest, so that others run empty and can be returned.
+	// the cheap ones, then the fullest, so that dear ones and others run empty
+	// and can be returned.
 	slices.SortStableFunc(r.free, tighter)
 	p.clean(r)
 	p.pull(r)
@@ -129,6 +130,12 @@
 	if a.Type.CPUs != b.Type.CPUs {
 		return cmp.Compare(a.Type.CPUs, b.Type.CPUs)
 	}
+	if a.Spot != b.Spot {
+		if a.Spot {
+			return -1
+		}
+		return 1
+	}
 	x, _, _ := a.Free()
 	y, _, _ := b.Free()
 	return cmp.Compare(x, y)
