--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -294,7 +294,7 @@
 			}
 			// Never launched: free for another machine when this one does
 			// not take tasks any more.
-			if h.Draining != "" || h.Deaf || k.Job.Cancelled || (h.Up && now-h.Heard > tuning.DeadAfter/2) || !h.Up {
+			if h.Draining != "" || h.Deaf || k.Job.Cancelled || (h.Up && now-h.Heard > t.set.DeadAfter()/2) || !h.Up {
 				t.proveGone(h, k)
 			}
 		}
@@ -362,7 +362,7 @@
 
 // Quiet tells whether a machine has not reported for suspiciously long.
 func (t *Table) Quiet(h *Host) bool {
-	return h.Up && t.rt.Now()-max(h.Heard, t.begun) > tuning.DeadAfter
+	return h.Up && t.rt.Now()-max(h.Heard, t.begun) > t.set.DeadAfter()
 }
 
 // Unreachable answers for a node that may not act for the controllers.
--- a/internal/block/pages.go
+++ b/internal/block/pages.go
@@ -17,6 +17,7 @@
 	total int          // tasks it told of when it was written
 	tasks []*work.Task // those
 	used  bool
+	held  bool // is being written
 }
 
 // put notes that a page is the newest word on a task.
@@ -59,13 +60,24 @@
 	p.order = order
 	var list []int
 	for n := 0; len(list) < number; n++ {
-		if n >= len(p.list) || !p.list[n].used {
+		if n == len(p.list) {
+			p.list = append(p.list, page{})
+		}
+		if g := &p.list[n]; !g.used && !g.held {
+			g.held = true
 			list = append(list, n)
 		}
 	}
 	return list
 }
 
+// written notes that pages are no longer being written.
+func (p *pages) written(list []int) {
+	for _, n := range list {
+		p.list[n].held = false
+	}
+}
+
 // oldest returns the tasks that an old page, most of which is superseded, still
 // tells of; none while the log is short.
 func (p *pages) oldest() []*work.Task {
--- a/internal/block/shelf.go
+++ b/internal/block/shelf.go
@@ -44,7 +44,10 @@
 	urgent  bool          // something waits for a commit of those
 	since   time.Duration // when the first of them changed
 	pages   pages
-	flying  bool
+	flights int  // commits under way
+	resting bool // after a refused one
+	seq     uint64
+	began   time.Duration // the newest of those
 	tries   int
 	planned bool
 	budget  float64 // of changes
@@ -62,7 +65,7 @@
 // End forgets everything: the block is lost.
 func (s *Shelf) End() {
 	s.term++
-	s.token, s.loaded, s.flying, s.planned = 0, false, false, false
+	s.token, s.loaded, s.flights, s.resting, s.planned = 0, false, 0, false, false
 	s.jobs, s.chunks, s.dirty = map[string]*work.Job{}, map[string]*work.Chunk{}, nil
 	s.pages = pages{}
 }
@@ -301,12 +304,18 @@
 }
 
 // Flush commits changed tasks: at once if something waits for one, else after a
-// while. One commit is under way at a time, and takes what has gathered.
+// while. A commit takes what has gathered. It goes alone for a moment; if its
+// answer takes longer, others follow, since the order in which pages are written
+// does not matter.
 func (s *Shelf) Flush() {
-	if s.flying || !s.loaded || !s.office.Valid() || len(s.dirty) == 0 {
+	if s.resting || s.flights >= tuning.CommitsAhead || !s.loaded || !s.office.Valid() || len(s.dirty) == 0 {
 		return
 	}
 	now := s.rt.Now()
+	if wait := s.began + tuning.CommitGap - now; s.flights > 0 && wait > 0 {
+		s.later(wait)
+		return
+	}
 	s.budget = min(max(1, s.rate()), s.budget+s.rate()*(now-s.filled).Seconds())
 	s.filled = now
 	if wait := s.since + tuning.DoneDelay - now; !s.urgent && wait > 0 {
@@ -345,10 +354,12 @@
 	}
 	// What is still true of an old page moves on with the rest, so that the
 	// page can be written over and the log stays as long as the work is.
-	for _, t := range s.pages.oldest() {
-		if !t.Dirty {
-			t.Dirty = true
-			take(t)
+	if s.flights == 0 {
+		for _, t := range s.pages.oldest() {
+			if !t.Dirty {
+				t.Dirty = true
+				take(t)
+			}
 		}
 	}
 	values, on, rest, err := work.Pack(tasks, s.pageBytes(), most)
@@ -376,38 +387,51 @@
 		}
 	}
 	term := s.term
-	s.flying = true
+	s.seq++
+	seq := s.seq
+	s.flights++
+	s.began = s.rt.Now()
 	s.budget -= float64(len(apply))
-	s.led.Commit([]ledger.Guard{{Key: ledger.BlockKey(s.block), Stamp: s.token}}, apply, func(r ledger.Result) {
+	guards := []ledger.Guard{{Key: ledger.BlockKey(s.block), Stamp: s.token}}
+	s.led.CommitWithin(guards, apply, s.led.Patience(), func(r ledger.Result) {
 		if term != s.term {
 			return
 		}
+		if r.Outcome == ledger.OK || r.Outcome == ledger.Refused {
+			s.flights--
+			s.pages.written(free)
+		}
 		switch r.Outcome {
 		case ledger.OK:
-			s.flying, s.tries = false, 0
+			s.tries = 0
 			for _, w := range written {
 				t := w.task
 				if s.chunks[t.Chunk.Key] != t.Chunk {
 					continue
 				}
+				if w.state == work.Placed && t.State == work.Placed && t.Attempt == w.attempt && !t.Durable {
+					t.Durable = true
+					s.Launchable(t)
+				}
+				if seq < t.Logged {
+					continue // a later commit's answer was faster; its word is newer
+				}
+				t.Logged = seq
 				s.pages.take(t.Page)
 				t.Page = w.page
 				s.pages.put(t.Page, t)
-				switch {
-				case w.state == work.Done:
+				if w.state == work.Done {
 					t.DoneDurable = true
-				case w.state == work.Placed && t.State == work.Placed && t.Attempt == w.attempt && !t.Durable:
-					t.Durable = true
-					s.Launchable(t)
 				}
 			}
 			s.Flush()
 		case ledger.Refused:
 			// Surely not carried out: the same again, a little later.
 			s.tries++
+			s.resting = true
 			s.rt.After(s.led.Backoff(s.tries-1), func() {
 				if term == s.term {
-					s.flying = false
+					s.resting = false
 					undo()
 					s.Flush()
 				}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -145,7 +145,7 @@
 func (n *Node) tick() {
 	n.rt.After(tuning.DigestEvery, n.tick)
 	now := n.rt.Now()
-	up := false
+	up := 0
 	deaf, hearing := 0, 0
 	for b, o := range n.owners {
 		if o.token == 0 {
@@ -153,14 +153,11 @@
 		}
 		o.table.Tick()
 		o.wanted = true
-		for _, h := range o.table.All() {
-			up = up || (h.Up && !h.Silent)
-		}
 		d, all := o.table.Deaf()
-		deaf, hearing = deaf+d, hearing+all-d
+		deaf, hearing, up = deaf+d, hearing+all-d, up+all
 		n.tell(b)
 	}
-	if up && (now-n.lastBeat > tuning.DeafAfter || deaf > hearing) {
+	if up > 0 && (now-n.lastBeat > n.set.DeafAfter(up) || deaf > hearing) {
 		// Not one report for any block, or nobody hears the answers: it is
 		// this node that is cut off, not every machine that has died.
 		n.office.GiveUp()
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -245,3 +245,37 @@
 		t.Errorf("a task was handed out %d times", most)
 	}
 }
+
+// TestSlowStateIsNoOutage guards against a fault of an incident: commits that
+// a slow state service answered late were given up, each at the price of a new
+// token and a reading of all records, so that hardly anything was placed.
+func TestSlowStateIsNoOutage(t *testing.T) {
+	w := newWorld(8)
+	for i := range 20 {
+		j := &simJob{id: fmt.Sprintf("wk-%06d", i), team: "red", tasks: 4, cpus: 1, length: 3 * time.Second, spot: true, done: map[int]bool{}}
+		w.after(time.Duration(i*3)*time.Second, func() { w.user(j, 0) })
+	}
+	token := func() (sum uint64) {
+		for _, n := range w.nodes {
+			sum += n.node.office.Block(0)
+		}
+		return sum
+	}
+	w.run(15 * time.Second)
+	before := token()
+	w.slow = 100 * time.Millisecond
+	w.run(65 * time.Second)
+	if after := token(); before == 0 || after != before {
+		t.Errorf("the block's token went from %d to %d", before, after)
+	}
+	w.slow = 0
+	w.run(100 * time.Second)
+	for _, b := range w.broken {
+		t.Error(b)
+	}
+	for _, j := range w.jobs {
+		if j.told != "done" {
+			t.Errorf("%s is %q", j.id, j.told)
+		}
+	}
+}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -42,6 +42,7 @@
 	loss     float64         // of messages, each way
 	late     float64         // of requests carried out late, unanswered
 	cut      map[string]bool // "a|b": no messages between the two
+	slow     time.Duration   // what the state service takes for an answer, now and then 50 times as long
 	repeat   float64         // of requests carried out once more, later
 	copies   float64         // of reports of which a copy comes late
 	outage   bool            // of the state service
@@ -99,7 +100,16 @@
 			fn(a, err)
 		}
 	}
-	delay := func() time.Duration { return time.Duration(1+w.rng.IntN(4)) * time.Millisecond }
+	delay := func() time.Duration {
+		d := time.Duration(1+w.rng.IntN(4)) * time.Millisecond
+		if to == "state" && w.slow > 0 {
+			d += w.slow / 2
+			if w.rng.IntN(60) == 0 {
+				d += w.slow * 25
+			}
+		}
+		return d
+	}
 	if w.isCut(from, to) {
 		if w.rng.IntN(2) == 0 {
 			// Held back, and delivered when the cut is over.
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -29,7 +29,10 @@
 	set     *settings.Settings
 	log     *slog.Logger
 	queue   []*creation
-	flying  bool
+	flights int           // commits under way
+	began   time.Duration // the newest of those
+	resting bool          // after a refused one
+	timed   bool
 	pending map[string]*creation
 }
 
@@ -130,9 +133,20 @@
 	d.flush()
 }
 
-// flush commits waiting submissions, several at a time.
+// flush commits waiting submissions, several at a time. While an answer is slow,
+// others do not wait behind it.
 func (d *Desk) flush() {
-	if d.flying || len(d.queue) == 0 {
+	if d.resting || d.flights >= tuning.CommitsAhead || len(d.queue) == 0 {
+		return
+	}
+	if wait := d.began + tuning.CommitGap - d.rt.Now(); d.flights > 0 && wait > 0 {
+		if !d.timed {
+			d.timed = true
+			d.rt.After(wait, func() {
+				d.timed = false
+				d.flush()
+			})
+		}
 		return
 	}
 	var batch []*creation
@@ -154,9 +168,10 @@
 	if len(batch) == 0 {
 		return
 	}
-	d.flying = true
+	d.flights++
+	d.began = d.rt.Now()
 	d.led.Commit(guards, sets, func(r ledger.Result) {
-		d.flying = false
+		d.flights--
 		switch r.Outcome {
 		case ledger.OK:
 			for _, c := range batch {
@@ -184,9 +199,9 @@
 				most = max(most, c.tries)
 			}
 			d.queue = append(batch, d.queue...)
-			d.flying = true
+			d.resting = true
 			d.rt.After(d.led.Backoff(most-1), func() {
-				d.flying = false
+				d.resting = false
 				d.flush()
 			})
 			return
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -69,6 +69,7 @@
 	// LastAnswer is when the service last answered anything but a refusal.
 	LastAnswer time.Duration
 	Answered   bool
+	pace       time.Duration // what an answer takes lately
 	// CheckEvery is the least time between two freshness checks of a copy.
 	CheckEvery time.Duration
 }
@@ -89,8 +90,12 @@
 			return
 		}
 	}
+	asked := c.rt.Now()
 	c.rt.Call(c.addr, httpwire.Call{Method: method, Target: target, Body: raw}, timeout,
 		func(ans httpwire.Answer, err error) {
+			if err == nil && method == "POST" {
+				c.pace += (c.rt.Now() - asked - c.pace) / tuning.PaceMemory
+			}
 			switch {
 			case err == engine.ErrNotSent:
 				fn(Refused, nil)
@@ -124,8 +129,21 @@
 		})
 }
 
+// Patience is how long a commit is waited for whose outcome must be known. A
+// service that answers slowly is not one that has failed: given up on at the
+// usual time, commits were in doubt one after the other, and each doubt cost a
+// new token and a reading of all records.
+func (c *Client) Patience() time.Duration {
+	return max(tuning.StateTimeout, min(tuning.SlowAnswers*c.pace, tuning.StatePatience))
+}
+
 // Commit applies changes if all guards hold.
 func (c *Client) Commit(guards []Guard, apply []Change, fn func(Result)) {
+	c.CommitWithin(guards, apply, tuning.StateTimeout, fn)
+}
+
+// CommitWithin is Commit with a time after which the outcome counts as unknown.
+func (c *Client) CommitWithin(guards []Guard, apply []Change, timeout time.Duration, fn func(Result)) {
 	if guards == nil {
 		guards = []Guard{}
 	}
@@ -133,7 +151,7 @@
 		Guards []Guard  `json:"guards"`
 		Apply  []Change `json:"apply,omitempty"`
 	}{guards, apply}
-	c.call("POST", "/commit", body, tuning.StateTimeout, func(out Outcome, raw []byte) {
+	c.call("POST", "/commit", body, timeout, func(out Outcome, raw []byte) {
 		var reply struct {
 			Epoch  uint64   `json:"epoch"`
 			Failed []string `json:"failed"`
--- a/internal/ledger/mirror.go
+++ b/internal/ledger/mirror.go
@@ -33,7 +33,7 @@
 	ready  bool
 	life   int // grows with every full reading; late answers of old ones are dropped
 
-	next      time.Duration // when the watch may be opened again, see rest
+	next time.Duration // when the watch may be opened again, see rest
 
 	waiting   []func(error)
 	checking  bool
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -262,6 +262,21 @@
 // Report is the time between two reports of a worker.
 func (s *Settings) Report() time.Duration { return seconds(s.Deployment.Workers.ReportS) }
 
+// DeadAfter is how long a machine is silent before it counts as dead.
+func (s *Settings) DeadAfter() time.Duration {
+	return time.Duration(tuning.DeadIntervals*float64(s.Report())) + tuning.DeadSlack
+}
+
+// DeafAfter is how long an owner of so many machines hears none of them before
+// it is the owner that is cut off.
+func (s *Settings) DeafAfter(hosts int) time.Duration {
+	intervals := tuning.DeafIntervals
+	if hosts >= tuning.ManyHosts {
+		intervals /= 2
+	}
+	return time.Duration(intervals*float64(s.Report())) + tuning.DeafSlack
+}
+
 // WorkerLease is how long a worker goes on without an answer.
 func (s *Settings) WorkerLease() time.Duration { return seconds(s.Deployment.Workers.LeaseS) }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,10 @@
 	"encoding/json"
 	"strings"
 	"testing"
+
+	"pgregory.net/rapid"
+
+	"lemonmoor/internal/tuning"
 )
 
 const good = `{"node":"worker-0","area":"a","serve_on":"10.0.0.1:8080","peer_bind":"10.0.0.1:8081","novel":true,
@@ -60,3 +64,42 @@
 		}
 	}
 }
+
+// TestSilenceFollowsReports guards against a fault of an incident: silence was
+// counted in seconds measured where workers report every 3 s, and machines that
+// report every 10 s were returned as dead, with their tasks.
+func TestSilenceFollowsReports(t *testing.T) {
+	for _, report := range []float64{1, 3, 5, 10, 30} {
+		var s Settings
+		s.Deployment.Workers.ReportS = report
+		// A quarter late, its answer lost for 4 s, then another controller tried
+		// a second later: alive all the same.
+		if late := seconds(1.25*report + 4 + 1 + 0.5); s.DeadAfter() <= late {
+			t.Errorf("reports every %g s: dead after %v, alive within %v", report, s.DeadAfter(), late)
+		}
+		for _, hosts := range []int{1, 9, 10, 2000} {
+			if longest := seconds(1.25 * report); s.DeafAfter(hosts) <= longest {
+				t.Errorf("reports every %g s: %d machines unheard for %v mean nothing", report, hosts, s.DeafAfter(hosts))
+			}
+		}
+	}
+}
+
+// TestBlocksFollowSize: small deployments keep one block, large ones have no
+// more than controllers.
+func TestBlocksFollowSize(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Settings
+		s.Seeds = make([]Peer, rapid.IntRange(0, 6).Draw(t, "seeds"))
+		sum := 0.0
+		for range rapid.IntRange(1, 6).Draw(t, "teams") {
+			cpus := rapid.Float64Range(0, 30000).Draw(t, "cpus")
+			sum += cpus
+			s.Deployment.Teams = append(s.Deployment.Teams, Team{CPUs: cpus})
+		}
+		n := s.Blocks()
+		if n < 1 || n > len(s.Seeds)+1 || (sum < 2*tuning.BlockCPUs && n > 1) || (sum >= 2*tuning.BlockCPUs && len(s.Seeds) > 0 && n == 1) {
+			t.Fatalf("%d blocks for %g processors and %d controllers", n, sum, len(s.Seeds)+1)
+		}
+	})
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -31,9 +31,12 @@
 	// AbstainAfterStepDown is how long a node that gave up its lease, because
 	// no worker reached it, leaves the lease to others.
 	AbstainAfterStepDown = 20 * time.Second
-	// DeafAfter is how long an owner with machines hears no report at all
-	// before it gives up its lease.
-	DeafAfter = 9 * time.Second
+	// DeafIntervals and DeafSlack make up how long an owner with machines hears no
+	// report at all before it gives up its lease: so many report intervals, and
+	// a moment for messages. With ManyHosts machines one interval is enough.
+	DeafIntervals = 2.5
+	DeafSlack     = 1500 * time.Millisecond
+	ManyHosts     = 10
 	// FirstAssign is how long a new leader waits for controllers to enrol
 	// before it leases blocks to them.
 	FirstAssign = 400 * time.Millisecond
@@ -49,6 +52,17 @@
 	// StateTimeout is when a state request counts as unanswered. Answers
 	// usually take 10 ms, now and then a few hundred.
 	StateTimeout = 1800 * time.Millisecond
+	// StatePatience is how long an owner's commit is waited for when answers are
+	// slow; SlowAnswers how many times the usual answer's time that is. The
+	// slowest answers take some fifty times as long as the usual ones.
+	StatePatience = 8 * time.Second
+	SlowAnswers   = 60
+	// PaceMemory is the number of answers over which that time is averaged.
+	PaceMemory = 8
+	// CommitsAhead is the most commits of one owner, or submissions' commits of
+	// one node, under way at a time; CommitGap is how long one goes alone.
+	CommitsAhead = 4
+	CommitGap    = 60 * time.Millisecond
 	// StateBackoff is the first pause after a refused request; it doubles.
 	StateBackoff = 100 * time.Millisecond
 	// StateBackoffMax is the longest such pause.
@@ -140,9 +154,12 @@
 	// SuspectReports is how many report intervals of silence keep new tasks
 	// off a machine.
 	SuspectReports = 2.2
-	// DeadAfter is how long a machine is silent, while most others report,
-	// before it is returned. A worker that loses one answer is back in 7 s.
-	DeadAfter = 11 * time.Second
+	// DeadIntervals and DeadSlack make up how long a machine is silent, while
+	// most others report, before it is returned: a report interval at its
+	// longest, and what a worker needs that loses one answer and tries another
+	// controller.
+	DeadIntervals = 1.25
+	DeadSlack     = 7 * time.Second
 	// DeafReports is how many answered reports in a row a machine may send
 	// without showing the token of the answers: the next one shows it, but for
 	// one already under way and one lost answer.
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -30,8 +30,9 @@
 	Index int
 	State State
 	// Page of the log that tells of it, -1 for none; Dirty: it has changed since.
-	Page  int
-	Dirty bool
+	Page   int
+	Dirty  bool
+	Logged uint64 // the newest commit that has told of it
 	// Attempt is the last one used; attempts are never used twice.
 	Attempt uint64
 	// Host is the machine that has, or may have, the task while it is Placed.
