--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -104,7 +104,7 @@
 		d := time.Duration(1+w.rng.IntN(4)) * time.Millisecond
 		if to == "state" && w.slow > 0 {
 			d += w.slow / 2
-			if w.rng.IntN(60) == 0 {
+			if w.rng.IntN(12) == 0 {
 				d += w.slow * 25
 			}
 		}
