--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,8 +52,9 @@
 	kind    Kind
 	rented  time.Duration
 	listed  bool
-	booting bool // by the newest list
-	missed  int  // lists in a row without it, after it was listed
+	booting bool          // by the newest list
+	running time.Duration // since when lists have said so, 0: they do not
+	missed  int           // lists in a row without it, after it was listed
 	failed  bool
 	release bool // to be returned
 	asked   bool // the request is under way
@@ -366,7 +367,11 @@
 					f.machines[l.ID] = m
 				}
 				m.addr, m.listed, m.missed = l.Addr, true, 0
-				m.booting = l.Phase == "booting"
+				if m.booting = l.Phase == "booting"; m.booting {
+					m.running = 0
+				} else if m.running == 0 {
+					m.running = f.rt.Now()
+				}
 				if l.Phase == "failed" && !m.failed {
 					m.failed = true
 					f.giveBack(m, "failed")
@@ -408,6 +413,16 @@
 	return m.known && w.any && f.rt.Now()-w.heard < tuning.DigestStale
 }
 
+// unheard tells whether a machine that the lists call running has not reported
+// to its owner, which has been there for long enough. One that died before its
+// first report, or while the controllers were down, counted as booting for ever,
+// and nothing was rented in its place.
+func (f *Fleet) unheard(m *machine) bool {
+	w, now := &f.words[m.block], f.rt.Now()
+	return !m.known && m.running > 0 && w.any && now-w.heard < tuning.DigestStale &&
+		now-max(w.since, m.running) > f.set.DeadAfter()
+}
+
 // Hear takes an owner's digest. Machines in it that were not rented in this
 // term are adopted.
 func (f *Fleet) Hear(d *Digest) Reply {
@@ -477,7 +492,7 @@
 		if t == nil || m.release || m.failed || m.drain != "" {
 			continue
 		}
-		if m.known && (!f.fresh(m) || !m.state.Open) {
+		if m.known && (!f.fresh(m) || !m.state.Open) || f.unheard(m) {
 			continue
 		}
 		r = Room{Kind: m.kind, Host: m.id, Block: m.block, Type: t, Booting: !m.known}
@@ -535,16 +550,11 @@
 				boot = t.BootS
 			}
 			limit := time.Duration(boot*tuning.BootFactor*float64(time.Second)) + tuning.BootSlack
-			w := &f.words[m.block]
 			switch {
-			case now-m.rented <= limit || now-f.begun <= tuning.BootSlack:
-			case m.booting:
+			case f.unheard(m):
+				f.giveBack(m, "does not report")
+			case m.booting && now-m.rented > limit && now-f.begun > tuning.BootSlack:
 				f.giveBack(m, "never booted")
-			case m.listed && w.any && now-w.heard < tuning.DigestStale && now-w.since > limit:
-				// It is up, and its owner has been there all the time. One that
-				// died before its first report counted as booting for ever, and
-				// nothing was rented in its place.
-				f.giveBack(m, "never reported")
 			}
 			continue
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -50,3 +50,35 @@
 		t.Error("a machine that has been booting for an hour is kept")
 	}
 }
+
+// TestDeadMachineIsNoRoom guards against a fault of a rough day: machines that
+// died while all controllers were down stayed in the lists as running, counted
+// as about to come, and for half a minute nothing was rented in their place.
+func TestDeadMachineIsNoRoom(t *testing.T) {
+	rt := &still{now: time.Hour}
+	set := &settings.Settings{}
+	set.Deployment.Workers.ReportS = 10
+	f := New(rt, "", leading{}, set, slog.New(slog.DiscardHandler))
+	f.types = []jobs.MachineType{{Label: "g8", CPUs: 8, BootS: 20}}
+	for _, id := range []string{"vm-1", "vm-2"} {
+		f.machines[id] = &machine{id: id, kind: Kind{Build: "g8"}, rented: rt.now, listed: true, running: rt.now}
+	}
+	rooms := func() (n int) {
+		f.Rooms(func(*Room) { n++ })
+		return n
+	}
+	for s := range 25 {
+		f.Hear(&Digest{Full: s == 0, Seq: uint64(s), Hosts: []HostState{{ID: "vm-1", Build: "g8", Up: true, Open: true}}})
+		if s == 3 && rooms() != 2 {
+			t.Error("a machine that may report any moment is no room")
+		}
+		rt.now += time.Second
+	}
+	if n := rooms(); n != 1 {
+		t.Errorf("%d rooms, one machine is dead", n)
+	}
+	f.judge()
+	if !f.machines["vm-2"].release || f.machines["vm-1"].release {
+		t.Error("the dead machine is kept, or the live one returned")
+	}
+}
