--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -248,18 +248,6 @@
 	t.book.Changed(k, true)
 }
 
-// Stop stops a running task to make room; one that can save is given the time
-// to. Its machine is told at once, and again with each report until it is gone.
-func (t *Table) Stop(k *work.Task) {
-	h := t.hosts[k.Host]
-	if h == nil || k.State != work.Placed || k.Stopping {
-		return
-	}
-	k.Stopping, k.WindDown = true, k.Job.Desc.SaveS
-	t.ready[h] = true
-	t.log.Debug("stopping to make room", "host", h.ID, "task", k.Ref())
-}
-
 // Launchable notes that a placement is durable.
 func (t *Table) Launchable(k *work.Task) {
 	if h := t.hosts[k.Host]; h != nil {
@@ -695,13 +683,7 @@
 			msg.Orders = append(msg.Orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Attempt})
 		}
 	}
-	for k := range h.Tasks {
-		// Repeated or late, a halt does no harm: it names the attempt.
-		if k.Stopping && k.Seen && len(msg.Orders) < tuning.OrdersPerMessage {
-			msg.Orders = append(msg.Orders, halt(k.Ref(), k.Attempt, k.WindDown))
-		}
-	}
-	if len(msg.Orders) == 0 {
+	if len(carried) == 0 {
 		return
 	}
 	body, err := json.Marshal(msg)
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -52,7 +52,6 @@
 	o.planner.Open = o.table.Open
 	o.planner.Find = o.table.Get
 	o.planner.Place = o.table.Place
-	o.planner.Stop = o.table.Stop
 	return o
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,7 +8,6 @@
 	"cmp"
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"lemonmoor/internal/agents"
@@ -25,15 +24,12 @@
 	Find func(id string) *agents.Host
 	// Place gives a task to a machine.
 	Place func(*work.Task, *agents.Host)
-	// Stop stops a running task to make room.
-	Stop func(*work.Task)
 	// WaitBound is the wait in the extra queue after which a task goes first.
 	WaitBound time.Duration
 
 	arrivals []*work.Task
 	queues   map[string][]*work.Task // by machine
 	extra    []*work.Task
-	stopped  time.Duration // when room was last made
 }
 
 // New returns a planner with empty queues.
@@ -127,68 +123,6 @@
 	p.clean(r)
 	p.pull(r)
 	p.arrive(r)
-	p.preempt(r)
-}
-
-// preempt stops lower work for urgent tasks that find no room and whose
-// deadline can still be met: the tasks that have run least, past a first while,
-// and no more than the urgent ones need. What a stop ends, at most some times the
-// length of an urgent task, is less than what it lets through: room for several
-// of those, one after the other.
-func (p *Planner) preempt(r *round) {
-	if r.now-p.stopped < tuning.PreemptEvery {
-		return
-	}
-	p.stopped = r.now
-	var need, length float64
-	var prio jobs.Priority
-	count := func(q []*work.Task) {
-		for _, t := range q {
-			d := t.Job.Desc
-			if d.Priority() < jobs.High || d.DeadlineS == nil || !live(t) || !due(t, r.now) || r.now-t.Enqueued < tuning.PreemptAfter {
-				continue
-			}
-			if float64(r.wall-t.Job.Submitted)/1000+d.EstimateS > *d.DeadlineS*tuning.PreemptLate {
-				continue
-			}
-			need += d.CPUs
-			length = max(length, d.EstimateS)
-			prio = max(prio, d.Priority())
-		}
-	}
-	count(p.extra)
-	for _, q := range p.queues {
-		count(q)
-	}
-	if need == 0 {
-		return
-	}
-	var running []*work.Task
-	for _, h := range r.open {
-		for t := range h.Tasks {
-			switch ran := r.now - t.Since; {
-			case t.Stopping:
-				need -= t.Job.Desc.CPUs
-			case t.Running && t.Job.Desc.Priority() < min(prio, jobs.High) && t.Stops < tuning.PreemptMost &&
-				ran >= tuning.PreemptLeast && ran.Seconds() <= tuning.PreemptLengths*length:
-				running = append(running, t)
-			}
-		}
-	}
-	slices.SortFunc(running, func(a, b *work.Task) int {
-		if a.Since != b.Since {
-			return cmp.Compare(b.Since, a.Since)
-		}
-		return strings.Compare(a.Ref(), b.Ref())
-	})
-	for _, t := range running {
-		if need <= 0 {
-			return
-		}
-		need -= t.Job.Desc.CPUs
-		t.Stops++
-		p.Stop(t)
-	}
 }
 
 // tighter orders machines with room.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -198,20 +198,6 @@
 	// them, which takes some 0.1 µs each, and may take no more than a few
 	// thousandths of a core.
 	RoundPerMachine = 50 * time.Microsecond
-	// PreemptEvery is the time between two looks at whether to stop lower work
-	// for urgent tasks; PreemptAfter how long those must have waited.
-	PreemptEvery = 1 * time.Second
-	PreemptAfter = 5 * time.Second
-	// PreemptLate times its deadline is when a job's hope is given up: users
-	// state aims for once and for one and a half times the deadline.
-	PreemptLate = 1.5
-	// PreemptLeast is how long a task runs before it may be stopped: a start
-	// that is stopped sooner counts for nothing. PreemptLengths times the
-	// urgent tasks' length is the most that a stopped task has run;
-	// PreemptMost is how often one is stopped.
-	PreemptLeast   = 31 * time.Second
-	PreemptLengths = 4
-	PreemptMost    = 2
 	// StarvedAfter is how long a job waits for its first task before it goes
 	// before all others. The users fail a day on which the largest jobs do not
 	// begin within four minutes; a task may run for two before one ends.
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -58,7 +58,6 @@
 	Running  bool
 	Since    time.Duration // when it was first seen running
 	Stopping bool          // a halt has been decided
-	Stops    int           // how often it was stopped to make room
 	WindDown float64
 
 	// For the queues.
