--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -186,6 +186,20 @@
 		d.CPUs <= t.CPUs && d.Cards <= t.Cards && d.MemoryGB <= t.MemoryGB
 }
 
+// Missed counts the users' aims for the job that its tasks cannot meet any more
+// if they start now, at so many seconds of age. Of jobs that are alike otherwise,
+// those with the least go first: under overload a queue in order of age alone
+// makes every job late.
+func (d *Description) Missed(set *settings.Settings, age float64) int {
+	n := 0
+	set.Aims(d.Class, d.EstimateS, d.DeadlineS, func(latest float64) {
+		if age > latest {
+			n++
+		}
+	})
+	return n
+}
+
 // Feasible says why a job can never run, or nil.
 func Feasible(d *Description, types []MachineType, teams []settings.Team) error {
 	i := slices.IndexFunc(teams, func(t settings.Team) bool { return t.Name == d.Team })
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -168,6 +168,11 @@
 		} else if p.starved && p.placed+p.done > 0 {
 			p.starved, l.resort = false, true
 		}
+		if p.left() > 0 && !p.cancelled {
+			if n := p.desc.Missed(l.set, float64(now-p.e.At)/1000); n != p.missed {
+				p.missed, l.resort = n, true
+			}
+		}
 	}
 	if l.resort {
 		sort.Slice(l.order, func(i, k int) bool { return before(l.order[i], l.order[k]) })
@@ -292,26 +297,15 @@
 	age := float64(nowMS-p.e.At) / 1000
 	soft, hard = tuning.PatienceMost.Seconds(), tuning.MissedPatience.Seconds()
 	for _, o := range l.set.Deployment.Objectives {
-		left := o.WithinS - age
-		switch {
-		case o.Kind == "guarantee":
-			if p.within && left > 0 {
-				soft = min(soft, left)
-			}
-			continue
-		case o.Class != p.desc.Class:
-			continue
-		case o.Kind == "finished":
-			left -= p.desc.EstimateS
-		case o.Kind == "deadline" && p.desc.DeadlineS != nil:
-			left = *p.desc.DeadlineS*max(o.Times, 1) - p.desc.EstimateS - age
-		case o.Kind != "wait":
-			continue
+		if left := o.WithinS - age; o.Kind == "guarantee" && p.within && left > 0 {
+			soft = min(soft, left)
 		}
-		if left > 0 { // an aim that is missed already is no reason to hurry
+	}
+	l.set.Aims(p.desc.Class, p.desc.EstimateS, p.desc.DeadlineS, func(latest float64) {
+		if left := latest - age; left > 0 { // an aim that is missed already is no reason to hurry
 			hard = min(hard, left)
 		}
-	}
+	})
 	return min(soft, hard), hard
 }
 
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -39,6 +39,7 @@
 	waiting   []int // of those, in the blocks' queues
 	ending    bool
 	starved   bool // waits for its first task for too long
+	missed    int  // aims that it cannot meet any more
 }
 
 // left tells how many tasks are not handed out.
@@ -605,6 +606,9 @@
 	if p, q := a.desc.Priority(), b.desc.Priority(); p != q {
 		return p > q
 	}
+	if a.missed != b.missed {
+		return a.missed < b.missed
+	}
 	if a.within != b.within {
 		return a.within
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,6 +24,9 @@
 	Find func(id string) *agents.Host
 	// Place gives a task to a machine.
 	Place func(*work.Task, *agents.Host)
+	// Missed counts the aims that a job of an age in seconds cannot meet any
+	// more.
+	Missed func(j *work.Job, age float64) int
 	// WaitBound is the wait in the extra queue after which a task goes first.
 	WaitBound time.Duration
 
@@ -58,6 +61,16 @@
 	return a.Index < b.Index
 }
 
+func compare(a, b *work.Task) int {
+	switch {
+	case before(a, b):
+		return -1
+	case before(b, a):
+		return 1
+	}
+	return 0
+}
+
 // Allowed tells whether the job may use a machine at all.
 func Allowed(t *work.Task, h *agents.Host) bool {
 	d := t.Job.Desc
@@ -121,6 +134,7 @@
 	// and can be returned.
 	slices.SortStableFunc(r.free, tighter)
 	p.clean(r)
+	p.reorder(r)
 	p.pull(r)
 	p.arrive(r)
 }
@@ -177,6 +191,33 @@
 	}
 }
 
+// reorder sorts the queues anew when a job has come to miss an aim.
+func (p *Planner) reorder(r *round) {
+	changed := false
+	look := func(j *work.Job) {
+		if n := p.Missed(j, float64(r.wall-j.Submitted)/1000); n != j.Missed {
+			j.Missed, changed = n, true
+		}
+	}
+	for _, t := range r.waiting {
+		look(t.Job)
+	}
+	var last *work.Job
+	for _, t := range p.arrivals {
+		if t.Job != last {
+			last = t.Job
+			look(last)
+		}
+	}
+	if !changed {
+		return
+	}
+	slices.SortStableFunc(p.extra, compare)
+	for _, q := range p.queues {
+		slices.SortStableFunc(q, compare)
+	}
+}
+
 // pull lets the machines take from the queues, one priority after the other.
 func (p *Planner) pull(r *round) {
 	p.overdue(r)
@@ -327,15 +368,7 @@
 		return t.State != work.Waiting || t.Job.Cancelled || t.Queued
 	})
 	p.arrivals = nil
-	slices.SortStableFunc(tasks, func(a, b *work.Task) int {
-		switch {
-		case before(a, b):
-			return -1
-		case before(b, a):
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(tasks, compare)
 	for len(tasks) > 0 {
 		n := 1
 		for plain(tasks[0]) && n < len(tasks) && tasks[n].Job == tasks[0].Job && plain(tasks[n]) &&
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -312,6 +312,22 @@
 	return seconds(float64(active) / (tuning.WatchShare * s.Deployment.State.RPS))
 }
 
+// Aims calls fn for each aim of a class of jobs with the latest age, in seconds,
+// at which a task may start that takes so long, for the aim to be met.
+func (s *Settings) Aims(class string, estimateS float64, deadlineS *float64, fn func(latest float64)) {
+	for _, o := range s.Deployment.Objectives {
+		switch {
+		case o.Class != class:
+		case o.Kind == "finished":
+			fn(o.WithinS - estimateS)
+		case o.Kind == "wait":
+			fn(o.WithinS)
+		case o.Kind == "deadline" && deadlineS != nil:
+			fn(*deadlineS*max(o.Times, 1) - estimateS)
+		}
+	}
+}
+
 // WaitBound is the longest wait in the extra queue before a task goes first.
 func (s *Settings) WaitBound() time.Duration {
 	if v := s.Operator.WaitBoundS; v != nil {
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -76,6 +76,7 @@
 	Desc      *jobs.Description
 	Submitted int64 // ms since the epoch, by the accepting node's clock
 	Within    bool  // see lead: fits its team's guarantee
+	Missed    int   // aims that it cannot meet any more
 	Cancelled bool
 	Began     bool // a task of it has been placed
 	Tasks     map[int]*Task
@@ -89,6 +90,9 @@
 	if p, q := a.Desc.Priority(), b.Desc.Priority(); p != q {
 		return p > q
 	}
+	if a.Missed != b.Missed {
+		return a.Missed < b.Missed
+	}
 	if a.Within != b.Within {
 		return a.Within
 	}
