Pages are guarded by their stamps; machines are told of a new token at once

Tokens: a new owner waited for the workers' next reports, up to 12 s away, before it could place; it now tells them directly, with the addresses that the leader's list has.

--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -128,17 +128,19 @@
 	// Waiting is called for a task that has become free for another machine.
 	Waiting func(*work.Task)
 	// Type finds a machine type by its label.
-	Type   func(label string) *jobs.MachineType
-	rt     engine.Runtime
-	office Office
-	book   Shelf
-	set    *settings.Settings
-	log    *slog.Logger
-	hosts  map[string]*Host
-	list   []*Host       // in the order of their names
-	begun  time.Duration // this term
-	ready  map[*Host]bool
-	gone   map[string]bool // returned machines
+	Type     func(label string) *jobs.MachineType
+	rt       engine.Runtime
+	office   Office
+	book     Shelf
+	set      *settings.Settings
+	log      *slog.Logger
+	hosts    map[string]*Host
+	list     []*Host       // in the order of their names
+	begun    time.Duration // this term
+	ready    map[*Host]bool
+	greets   []*Host         // to be told of the token
+	greeting int             // being told
+	gone     map[string]bool // returned machines
 }
 
 // NewTable returns an empty table.
@@ -160,6 +162,10 @@
 		h.hears()
 	}
 	clear(t.ready)
+	t.greets, t.greeting = nil, 0
+	for _, h := range t.list {
+		t.Greet(h.ID, h.Addr)
+	}
 	token := t.office.Token()
 	t.book.Jobs(func(j *work.Job) {
 		for _, c := range j.Chunks {
@@ -173,6 +179,73 @@
 	})
 }
 
+// Greet tells a machine of the present token, directly: it need not come with
+// its next report first, which may be ten seconds away, before it gets tasks
+// again. The machine then reports at once.
+func (t *Table) Greet(id, addr string) {
+	if addr == "" || t.gone[id] {
+		return
+	}
+	h := t.host(id)
+	if h.Addr == "" {
+		h.Addr = addr
+	}
+	if h.Token < t.office.Token() && !h.Deaf && !slices.Contains(t.greets, h) {
+		t.greets = append(t.greets, h)
+	}
+}
+
+// greet sends what Greet has put in line, a few at a time.
+func (t *Table) greet() {
+	for t.greeting < tuning.GreetAhead && len(t.greets) > 0 {
+		h := t.greets[0]
+		t.greets = t.greets[1:]
+		token := t.office.Token()
+		if h.Token >= token || t.hosts[h.ID] != h {
+			continue
+		}
+		// Of a machine that this process has not heard of, the session is a
+		// guess; refused for another one, the message does no harm.
+		body, err := json.Marshal(Orders{Token: token, Shift: max(h.Shift, 1), Orders: []Order{}})
+		if err != nil {
+			return
+		}
+		t.greeting++
+		begun := t.begun
+		t.rt.Call(h.Addr, httpwire.Call{Method: "POST", Target: "/orders", Body: body}, tuning.OrderTimeout,
+			func(ans httpwire.Answer, err error) {
+				if t.begun != begun || t.office.Token() != token {
+					return // a new term greets anew
+				}
+				t.greeting--
+				if t.hosts[h.ID] == h && err == nil {
+					t.greeted(h, ans.Body, token)
+				}
+			})
+	}
+}
+
+// greeted takes the answer to a greeting: the worker's report. It proves that
+// the machine hears, and what it lists; like any answer to an order it proves
+// nothing gone.
+func (t *Table) greeted(h *Host, body []byte, token uint64) {
+	r, err := ParseReport(body)
+	if err != nil || r.Host != h.ID || r.Token != token || r.Shift < h.Shift {
+		return
+	}
+	if !h.Up {
+		h.Up, h.Addr, h.Build, h.Zone, h.Spot = true, r.Addr, r.Build, r.Zone, r.Spot
+		h.Type = t.Type(r.Build)
+	}
+	if h.Shift == 0 {
+		h.Shift = r.Shift
+	}
+	h.Heard = t.rt.Now()
+	if r.Shift == h.Shift && r.Tick > h.Tick {
+		t.read(h, r, false)
+	}
+}
+
 // End forgets what only holds for a term.
 func (t *Table) End() {
 	for _, h := range t.hosts {
@@ -659,6 +732,7 @@
 		clear(t.ready)
 		return
 	}
+	t.greet()
 	for h := range t.ready {
 		if h.flying {
 			continue // looked at again when the answer is in
--- a/internal/block/pages.go
+++ b/internal/block/pages.go
@@ -8,6 +8,7 @@
 // pages knows which page of the block's log tells of which task, so that a page
 // of which nothing is true any more can be written over.
 type pages struct {
+	stamp func(int) uint64 // of a page, as the copy has it
 	list  []page
 	order []int // pages in use, in the order in which they were written
 }
@@ -18,6 +19,14 @@
 	tasks []*work.Task // those
 	used  bool
 	held  bool // is being written
+	stamp uint64
+}
+
+func (p *pages) at(n int) *page {
+	for n >= len(p.list) {
+		p.list = append(p.list, page{stamp: p.stamp(len(p.list))})
+	}
+	return &p.list[n]
 }
 
 // put notes that a page is the newest word on a task.
@@ -25,10 +34,7 @@
 	if n < 0 {
 		return
 	}
-	for n >= len(p.list) {
-		p.list = append(p.list, page{})
-	}
-	g := &p.list[n]
+	g := p.at(n)
 	if !g.used {
 		g.used, g.total, g.tasks = true, 0, g.tasks[:0]
 		p.order = append(p.order, n)
@@ -60,10 +66,7 @@
 	p.order = order
 	var list []int
 	for n := 0; len(list) < number; n++ {
-		if n == len(p.list) {
-			p.list = append(p.list, page{})
-		}
-		if g := &p.list[n]; !g.used && !g.held {
+		if g := p.at(n); !g.used && !g.held {
 			g.held = true
 			list = append(list, n)
 		}
@@ -71,10 +74,14 @@
 	return list
 }
 
-// written notes that pages are no longer being written.
-func (p *pages) written(list []int) {
+// written notes that pages are no longer being written; stamp is that of the
+// commit, 0 if there was none.
+func (p *pages) written(list []int, stamp uint64) {
 	for _, n := range list {
 		p.list[n].held = false
+		if stamp > 0 {
+			p.list[n].stamp = stamp
+		}
 	}
 }
 
--- a/internal/block/shelf.go
+++ b/internal/block/shelf.go
@@ -67,7 +67,7 @@
 	s.term++
 	s.token, s.loaded, s.flights, s.resting, s.planned = 0, false, 0, false, false
 	s.jobs, s.chunks, s.dirty = map[string]*work.Job{}, map[string]*work.Chunk{}, nil
-	s.pages = pages{}
+	s.pages = pages{stamp: func(n int) uint64 { return s.store.PageStamp(s.block, n) }}
 }
 
 // IsLoaded tells whether the records have been read under the present token.
@@ -373,8 +373,12 @@
 	}
 	var apply []ledger.Change
 	var written []saved
+	guards := []ledger.Guard{{Key: ledger.BlockKey(s.block), Stamp: s.token}}
 	free := s.pages.free(len(values))
 	for i, value := range values {
+		// A commit that is carried out once more, later, must not bring back
+		// what the page told then.
+		guards = append(guards, ledger.Guard{Key: work.PageKey(s.block, free[i]), Stamp: s.pages.at(free[i]).stamp})
 		apply = append(apply, ledger.Change{Set: work.PageKey(s.block, free[i]), Value: value})
 		for _, t := range on[i] {
 			t.Dirty = false
@@ -392,14 +396,17 @@
 	s.flights++
 	s.began = s.rt.Now()
 	s.budget -= float64(len(apply))
-	guards := []ledger.Guard{{Key: ledger.BlockKey(s.block), Stamp: s.token}}
 	s.led.CommitWithin(guards, apply, s.led.Patience(), func(r ledger.Result) {
 		if term != s.term {
 			return
 		}
-		if r.Outcome == ledger.OK || r.Outcome == ledger.Refused {
+		switch r.Outcome {
+		case ledger.OK:
+			s.flights--
+			s.pages.written(free, r.Epoch)
+		case ledger.Refused:
 			s.flights--
-			s.pages.written(free)
+			s.pages.written(free, 0)
 		}
 		switch r.Outcome {
 		case ledger.OK:
--- a/internal/controller/dump_test.go
+++ b/internal/controller/dump_test.go
@@ -16,6 +16,14 @@
 			continue
 		}
 		fmt.Println(n.name, "lead", n.node.office.Lead(), "leader", n.node.office.Leader(), "valid", n.node.office.Valid())
+		for _, j := range w.jobs {
+			if j.told != "" {
+				continue
+			}
+			for key, r := range n.node.store.OfJob(j.id) {
+				fmt.Printf("  %s stamp %d index %v marks %+v pages %v\n", key, r.Stamp, r.Index, r.Marks, r.Pages)
+			}
+		}
 		for b, o := range n.node.owners {
 			fmt.Println("  block", b, "token", o.token, "owner", n.node.office.Owner(b), "loaded", o.shelf.IsLoaded())
 			for _, h := range o.table.All() {
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -142,6 +142,9 @@
 		o.table.Returned(id)
 		delete(o.told, id)
 	}
+	for _, m := range r.Machines {
+		o.table.Greet(m.ID, m.Addr)
+	}
 	for _, id := range r.Drain {
 		o.table.Drain(id, "idle")
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -115,12 +115,20 @@
 	Number int    `json:"number"`
 }
 
+// Address is where a machine's worker takes orders.
+type Address struct {
+	ID   string `json:"id"`
+	Addr string `json:"addr"`
+}
+
 // Reply is the leader's answer to a digest.
 type Reply struct {
-	Full     bool     `json:"full,omitempty"` // a word is missing: tell all
-	Drain    []string `json:"drain,omitempty"`
-	Returned []string `json:"returned,omitempty"` // gone, with all on them
-	Recall   []Recall `json:"recall,omitempty"`
+	Full  bool     `json:"full,omitempty"` // a word is missing: tell all
+	Drain []string `json:"drain,omitempty"`
+	// Machines are those that the owner has not heard of, to a full word.
+	Machines []Address `json:"machines,omitempty"`
+	Returned []string  `json:"returned,omitempty"` // gone, with all on them
+	Recall   []Recall  `json:"recall,omitempty"`
 }
 
 // Room is a machine that takes tasks or is about to.
@@ -447,7 +455,7 @@
 	}
 	for _, s := range d.Hosts {
 		if there != nil {
-			there[s.ID] = true
+			there[s.ID] = s.Up
 		}
 		if _, gone := f.returned[s.ID]; gone {
 			r.Returned = append(r.Returned, s.ID)
@@ -472,11 +480,17 @@
 			f.giveBack(m, s.Back)
 		}
 	}
+	if d.Full && !f.listed {
+		r.Full = true // tell all once more, when the machines are known
+	}
 	for id, m := range f.machines {
 		switch {
 		case m.block != d.Block:
 		case there != nil && !there[id]:
 			m.state.Open = false // it has not reported to this owner yet
+			if m.addr != "" && !m.release && !m.booting {
+				r.Machines = append(r.Machines, Address{id, m.addr})
+			}
 		case m.drain != "" && m.known && m.state.Open:
 			r.Drain = append(r.Drain, id)
 		}
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -328,6 +328,9 @@
 	if p != nil {
 		l.count(p, r, 1)
 		l.over(p)
+	} else if e := l.cat.Get(r.Job); e != nil && e.Phase != "" {
+		// A hand-out that was carried out once more after its job was over.
+		l.stale = append(l.stale, r.Key)
 	}
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -149,6 +149,8 @@
 const (
 	// OrderTimeout is when a direct order counts as unanswered.
 	OrderTimeout = 2500 * time.Millisecond
+	// GreetAhead is the most machines that are told of a new token at a time.
+	GreetAhead = 32
 	// OrdersPerMessage keeps an answer's line below 64 KiB.
 	OrdersPerMessage = 200
 	// SuspectReports is how many report intervals of silence keep new tasks
--- a/internal/work/store.go
+++ b/internal/work/store.go
@@ -22,6 +22,7 @@
 	records map[string]*Record
 	byJob   map[string]map[string]*Record
 	sums    map[string]*sum
+	pages   map[string]uint64 // stamps of the pages
 	log     *slog.Logger
 }
 
@@ -31,7 +32,8 @@
 // NewStore returns an empty store.
 func NewStore(rt engine.Runtime, led *ledger.Client, log *slog.Logger) *Store {
 	s := &Store{Added: func(*Record) {}, Removed: func(*Record) {}, Moved: func(*Record, int, Mark) {},
-		records: map[string]*Record{}, byJob: map[string]map[string]*Record{}, sums: map[string]*sum{}, log: log}
+		records: map[string]*Record{}, byJob: map[string]map[string]*Record{}, sums: map[string]*sum{},
+		pages: map[string]uint64{}, log: log}
 	s.mirror = ledger.NewMirror(rt, led, Prefix)
 	s.mirror.Apply = s.apply
 	s.mirror.Reset = func(rows []ledger.Row) {
@@ -67,6 +69,7 @@
 	}
 	if job == logName {
 		if value != nil {
+			s.pages[key] = stamp
 			s.read(block, number, value)
 		}
 		return
@@ -159,6 +162,9 @@
 	return 0, 0
 }
 
+// PageStamp is the stamp of a page, 0 if it was never written.
+func (s *Store) PageStamp(block, page int) uint64 { return s.pages[PageKey(block, page)] }
+
 // Get finds a record.
 func (s *Store) Get(key string) *Record { return s.records[key] }
 
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -83,7 +83,7 @@
 func TestLogTellsAll(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := &Store{Added: func(*Record) {}, Removed: func(*Record) {}, Moved: func(*Record, int, Mark) {},
-			records: map[string]*Record{}, byJob: map[string]map[string]*Record{}, sums: map[string]*sum{}, log: slog.New(slog.DiscardHandler)}
+			records: map[string]*Record{}, byJob: map[string]map[string]*Record{}, sums: map[string]*sum{}, pages: map[string]uint64{}, log: slog.New(slog.DiscardHandler)}
 		var tasks []*Task
 		for n := range rapid.IntRange(1, 4).Draw(t, "records") {
 			id := []string{"wk-1", "wk-22", "wk-333", "wk-4444"}[n]
