--- /dev/null
+++ b/internal/agents/table_test.go
@@ -0,0 +1,322 @@
+package agents
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lemonmoor/internal/engine"
+	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/settings"
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// bench is a table with one machine: its runtime, office, shelf and worker. The
+// worker keeps the protocol: sessions, leases, tokens, attempts.
+type bench struct {
+	now    time.Duration
+	token  uint64
+	table  *Table
+	job    *work.Job
+	calls  []call // direct orders on their way
+	gone   func(*work.Task)
+	worker struct {
+		shift, tick, token uint64
+		leased             time.Duration
+		tasks              map[string]uint64 // attempts of running tasks
+		seen               map[string]bool   // task@attempt, ever launched in this session
+	}
+}
+
+type call struct {
+	body []byte
+	fn   func(httpwire.Answer, error)
+}
+
+func (b *bench) Now() time.Duration          { return b.now }
+func (b *bench) Wall() time.Time             { return time.UnixMilli(0).Add(b.now) }
+func (b *bench) Rand() float64               { return 0.5 }
+func (b *bench) After(time.Duration, func()) {}
+func (b *bench) Peer(string, string, []byte, time.Duration, func([]byte, error)) {
+}
+func (b *bench) Call(_ string, c httpwire.Call, _ time.Duration, fn func(httpwire.Answer, error)) {
+	b.calls = append(b.calls, call{c.Body, fn})
+}
+
+func (b *bench) Token() uint64            { return b.token }
+func (b *bench) Valid() bool              { return true }
+func (b *bench) Renew()                   { b.term() }
+func (b *bench) IsLoaded() bool           { return true }
+func (b *bench) Job(string) *work.Job     { return b.job }
+func (b *bench) Jobs(fn func(*work.Job))  { fn(b.job) }
+func (b *bench) Changed(*work.Task, bool) {}
+func (b *bench) TaskDone(t *work.Task)    { t.State = work.Done }
+func (b *bench) Drop(t *work.Task)        { t.State = work.Dropped }
+func (b *bench) term() {
+	b.token++
+	b.table.End()
+	b.table.Begin()
+}
+
+func newBench(tasks int) *bench {
+	b := &bench{token: 1, now: time.Hour}
+	set := &settings.Settings{}
+	set.Deployment.Workers.ReportS, set.Deployment.Workers.LeaseS, set.Deployment.Workers.CancelS = 5, 36, 66
+	b.table = NewTable(b, b, b, set, slog.New(slog.DiscardHandler))
+	b.table.Type = func(string) *jobs.MachineType { return &jobs.MachineType{Label: "g8", CPUs: 64, MemoryGB: 64} }
+	b.table.Waiting = func(t *work.Task) {
+		if b.gone != nil {
+			b.gone(t)
+		}
+	}
+	index := make([]int, tasks)
+	for i := range index {
+		index[i] = i
+	}
+	b.job = &work.Job{Desc: &jobs.Description{ID: "wk-1", CPUs: 1, Shape: "array"}, Tasks: map[int]*work.Task{}, Chunks: map[string]*work.Chunk{}}
+	work.Load(b.job, work.NewRecord(0, "wk-1", 0, index, nil, nil))
+	b.worker.shift, b.worker.leased = 1, b.now
+	b.worker.tasks, b.worker.seen = map[string]uint64{}, map[string]bool{}
+	b.table.Begin()
+	return b
+}
+
+// expire ends the worker's session when its lease has run out.
+func (b *bench) expire() {
+	if w := &b.worker; b.now-w.leased > b.table.set.WorkerLease() {
+		w.shift++
+		w.leased = b.now
+		clear(w.tasks)
+		clear(w.seen)
+	}
+}
+
+func (b *bench) report() *Report {
+	b.expire()
+	w := &b.worker
+	w.tick++
+	r := &Report{Host: "vm-1", Addr: "w:1", Build: "g8", Shift: w.shift, Tick: w.tick, Token: w.token}
+	for ref, attempt := range w.tasks {
+		r.Tasks = append(r.Tasks, Listed{Task: ref, Attempt: attempt, Phase: "running"})
+	}
+	return r
+}
+
+// obey carries orders out.
+func (b *bench) obey(token uint64, orders []Order) {
+	w := &b.worker
+	w.token = token
+	for _, o := range orders {
+		switch o.Verb {
+		case "launch":
+			if key := fmt.Sprint(o.Task, "@", o.Attempt); !w.seen[key] {
+				w.seen[key] = true
+				w.tasks[o.Task] = o.Attempt
+			}
+		case "halt":
+			if w.tasks[o.Task] == o.Attempt {
+				delete(w.tasks, o.Task)
+			}
+		}
+	}
+}
+
+// hear takes the answer to a report that was sent at a time.
+func (b *bench) hear(body []byte, shift uint64, sent time.Duration) {
+	b.expire()
+	var o Orders
+	if json.Unmarshal(body, &o) != nil || o.Token < b.worker.token || shift != b.worker.shift {
+		return
+	}
+	b.worker.leased = max(b.worker.leased, sent)
+	b.obey(o.Token, o.Orders)
+}
+
+// deliver carries a direct order out, perhaps late.
+func (b *bench) deliver(c call) httpwire.Answer {
+	b.expire()
+	var o Orders
+	if json.Unmarshal(c.body, &o) != nil || o.Token < b.worker.token || o.Shift != b.worker.shift {
+		raw, _ := json.Marshal(b.report())
+		return httpwire.Answer{Status: 409, Body: raw}
+	}
+	b.obey(o.Token, o.Orders)
+	raw, _ := json.Marshal(b.report())
+	return httpwire.Answer{Status: 200, Body: raw}
+}
+
+// TestGoneIsGone: whatever is lost, late or repeated between a table and its
+// worker, a task that the table calls gone is not on the machine and no order on
+// its way can start it there.
+func TestGoneIsGone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(4)
+		var late []call      // direct orders that may still be carried out
+		var copies []*Report // reports that may come once more
+		b.gone = func(k *work.Task) {
+			b.expire()
+			if b.worker.tasks[k.Ref()] == k.Attempt {
+				t.Fatalf("%s, attempt %d, is called gone and runs", k.Ref(), k.Attempt)
+			}
+			for _, c := range append(late, b.calls...) {
+				var o Orders
+				_ = json.Unmarshal(c.body, &o)
+				if o.Token < b.worker.token || o.Shift != b.worker.shift {
+					continue
+				}
+				for _, order := range o.Orders {
+					key := fmt.Sprint(order.Task, "@", order.Attempt)
+					if order.Verb == "launch" && order.Task == k.Ref() && order.Attempt == k.Attempt && !b.worker.seen[key] {
+						t.Fatalf("%s, attempt %d, is called gone and may start", k.Ref(), k.Attempt)
+					}
+				}
+			}
+		}
+		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			b.now += time.Duration(rapid.SampledFrom([]int{1, 500, 5000, 20000}).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
+			case 0, 1, 2: // a report; its answer may be lost
+				sent := b.now
+				r := b.report()
+				copies = append(copies, r)
+				if rapid.IntRange(0, 9).Draw(t, "report lost") == 0 {
+					continue
+				}
+				status, body := b.table.Report(r)
+				if status == 200 && rapid.IntRange(0, 3).Draw(t, "answer lost") > 0 {
+					b.hear(body, r.Shift, sent)
+				}
+			case 3: // a copy of an earlier report
+				if len(copies) > 0 {
+					b.table.Report(copies[rapid.IntRange(0, len(copies)-1).Draw(t, "copy")])
+				}
+			case 4: // placements
+				for _, k := range b.job.Tasks {
+					if h := b.table.Get("vm-1"); h != nil && b.table.Open(h) && k.State == work.Waiting {
+						b.table.Place(k, h)
+						k.Durable = true
+						b.table.Launchable(k)
+					}
+				}
+				b.table.Settle()
+			case 5: // a direct order: carried out or not, answered or not, now or later
+				if len(b.calls) == 0 {
+					continue
+				}
+				c := b.calls[0]
+				b.calls = b.calls[1:]
+				switch rapid.IntRange(0, 3).Draw(t, "fate") {
+				case 0:
+					c.fn(b.deliver(c), nil)
+				case 1:
+					b.deliver(c)
+					c.fn(httpwire.Answer{}, engine.ErrNoAnswer)
+				case 2:
+					late = append(late, c)
+					c.fn(httpwire.Answer{}, engine.ErrNoAnswer)
+				case 3:
+					c.fn(httpwire.Answer{}, engine.ErrNotSent)
+				}
+			case 6: // a late one
+				if len(late) > 0 {
+					b.deliver(late[0])
+					late = late[1:]
+				}
+			case 7:
+				b.table.Tick()
+			case 8: // another term: the records say what is placed
+				for _, k := range b.job.Tasks {
+					k.Flying, k.Doubt, k.Shift, k.Tick, k.Seen = false, false, 0, 0, false
+				}
+				b.term()
+			}
+		}
+	})
+}
+
+// TestDeafMachineGetsNothing: a machine that reports and does not hear is left
+// alone after a few reports, and not answered; when it answers a question it is
+// back.
+func TestDeafMachineGetsNothing(t *testing.T) {
+	b := newBench(1)
+	sent := b.now
+	_, body := b.table.Report(b.report())
+	b.hear(body, 1, sent)
+	b.table.Report(b.report())
+	h := b.table.Get("vm-1")
+	if !b.table.Open(h) {
+		t.Fatal("a machine that hears is closed")
+	}
+	b.term()
+	b.calls = nil
+	for range tuning.DeafReports + 1 {
+		b.now += 5 * time.Second
+		b.table.Report(b.report())
+	}
+	if status, _ := b.table.Report(b.report()); !h.Deaf || b.table.Open(h) || status != 503 {
+		t.Fatalf("deaf %v, open %v, answered %d", h.Deaf, b.table.Open(h), status)
+	}
+	b.now += tuning.ProbeEvery
+	b.table.Tick()
+	if len(b.calls) != 1 {
+		t.Fatalf("%d questions", len(b.calls))
+	}
+	b.calls[0].fn(b.deliver(b.calls[0]), nil)
+	b.table.Report(b.report())
+	if h.Deaf || !b.table.Open(h) {
+		t.Errorf("deaf %v, open %v after an answer", h.Deaf, b.table.Open(h))
+	}
+}
+
+// TestCopyOpensNothing: a late copy of a report opens no machine for a new
+// owner, shows no task gone, and never moves the lease's end to earlier.
+func TestCopyOpensNothing(t *testing.T) {
+	b := newBench(1)
+	old := b.report()
+	b.worker.token = b.token
+	for range 3 {
+		b.table.Report(b.report())
+	}
+	k := b.job.Tasks[0]
+	b.table.Place(k, b.table.Get("vm-1"))
+	k.Durable, k.Sent = true, true
+	b.term()
+	h := b.table.Get("vm-1")
+	end := b.table.leaseEnd(h)
+	b.now += time.Minute / 2
+	b.table.Report(old)
+	if k.State != work.Placed || b.table.Open(h) || b.table.leaseEnd(h) < end {
+		t.Errorf("task %v, open %v, lease ends %v, before %v", k.State, b.table.Open(h), b.table.leaseEnd(h), end)
+	}
+}
+
+// BenchmarkReport shows the cost of a report by the tasks on the machine.
+func BenchmarkReport(bm *testing.B) {
+	for _, tasks := range []int{2, 8, 64} {
+		bm.Run(fmt.Sprint(tasks, "tasks"), func(bm *testing.B) {
+			b := newBench(tasks)
+			b.worker.token = b.token
+			for i := range tasks {
+				b.worker.tasks[fmt.Sprint("wk-1/", i)] = 1
+			}
+			raw, err := json.Marshal(b.report())
+			if err != nil {
+				bm.Fatal(err)
+			}
+			for i := 0; bm.Loop(); i++ {
+				r, err := ParseReport(raw)
+				if err != nil {
+					bm.Fatal(err)
+				}
+				r.Tick += uint64(i)
+				b.table.Report(r)
+			}
+		})
+	}
+}
