--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -90,7 +90,8 @@
 	return names
 }
 
-func (h *Host) use(image string, gb float64) {
+// Use notes that a task with an image starts on the machine.
+func (h *Host) Use(image string, gb float64) {
 	h.images = slices.DeleteFunc(h.images, func(c cached) bool { return c.name == image })
 	h.images = append(h.images, cached{image, gb})
 	if h.Type == nil {
@@ -289,7 +290,7 @@
 	h.CPUs += k.Job.Desc.CPUs
 	h.Cards += k.Job.Desc.Cards
 	h.Memory += k.Job.Desc.MemoryGB
-	h.use(k.Job.Desc.Image, k.Job.Desc.ImageGB)
+	h.Use(k.Job.Desc.Image, k.Job.Desc.ImageGB)
 }
 
 func (t *Table) vacate(h *Host, k *work.Task) {
--- /dev/null
+++ b/internal/block/pages_test.go
@@ -0,0 +1,93 @@
+package block
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// TestPagesKeepTheNewestWord: however commits overlap and whichever is answered
+// first, the page that is the newest word on a task is never written over, and
+// the log stays short.
+func TestPagesKeepTheNewestWord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := pages{stamp: func(int) uint64 { return 0 }}
+		tasks := make([]*work.Task, rapid.IntRange(1, 40).Draw(t, "tasks"))
+		for i := range tasks {
+			tasks[i] = &work.Task{Index: i, Page: -1}
+		}
+		type flight struct {
+			seq   uint64
+			page  []int
+			tasks []*work.Task
+			words []int
+		}
+		var flights []flight
+		content := map[int]map[*work.Task]int{} // what a page tells, as words
+		word := map[*work.Task]int{}            // the newest word made
+		told := map[*work.Task]int{}            // the newest word committed
+		seq := uint64(0)
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			if len(flights) < tuning.CommitsAhead && rapid.Bool().Draw(t, "commit") {
+				seq++
+				f := flight{seq: seq}
+				list := append([]*work.Task(nil), p.oldestIf(len(flights) == 0)...)
+				for range rapid.IntRange(1, 5).Draw(t, "changed") {
+					k := tasks[rapid.IntRange(0, len(tasks)-1).Draw(t, "task")]
+					word[k]++
+					list = append(list, k)
+				}
+				f.page = p.free(1)
+				on := map[*work.Task]int{}
+				for _, k := range list {
+					if _, twice := on[k]; !twice {
+						f.tasks, f.words = append(f.tasks, k), append(f.words, word[k])
+					}
+					on[k] = word[k]
+				}
+				// Carried out at once; answered later.
+				content[f.page[0]] = on
+				for _, k := range f.tasks {
+					told[k] = max(told[k], on[k])
+				}
+				flights = append(flights, f)
+			} else if len(flights) > 0 {
+				i := rapid.IntRange(0, len(flights)-1).Draw(t, "answered")
+				f := flights[i]
+				flights = append(flights[:i:i], flights[i+1:]...)
+				p.written(f.page, f.seq)
+				for _, k := range f.tasks {
+					if f.seq < k.Logged {
+						continue
+					}
+					k.Logged = f.seq
+					p.take(k.Page)
+					k.Page = f.page[0]
+					p.put(k.Page, k)
+				}
+			}
+			for _, k := range tasks {
+				best := 0
+				for _, on := range content {
+					best = max(best, on[k])
+				}
+				if best < told[k] {
+					t.Fatalf("task %d: word %d was told, the log says %d", k.Index, told[k], best)
+				}
+			}
+			if len(p.list) > 2*tuning.LogPages {
+				t.Fatalf("%d pages for %d tasks", len(p.list), len(tasks))
+			}
+		}
+	})
+}
+
+func (p *pages) oldestIf(alone bool) []*work.Task {
+	if !alone {
+		return nil
+	}
+	return p.oldest()
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,231 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lemonmoor/internal/agents"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// yard is a planner with machines whose tasks are kept here.
+type yard struct {
+	*Planner
+	hosts []*agents.Host
+	now   time.Duration
+}
+
+var small = &jobs.MachineType{Label: "small", CPUs: 4, MemoryGB: 16, CacheGB: 10, Zones: []string{"a"}}
+var large = &jobs.MachineType{Label: "large", CPUs: 32, MemoryGB: 128, CacheGB: 10, Zones: []string{"a"}}
+
+func newYard(types ...*jobs.MachineType) *yard {
+	y := &yard{Planner: New(tuning.WaitBound), now: time.Hour}
+	for i, t := range types {
+		y.hosts = append(y.hosts, &agents.Host{ID: fmt.Sprintf("vm-%03d", i), Build: t.Label, Zone: "a", Type: t, Tasks: map[*work.Task]bool{}})
+	}
+	y.Open = func(h *agents.Host) bool { return h.Draining == "" }
+	y.Find = func(id string) *agents.Host {
+		for _, h := range y.hosts {
+			if h.ID == id {
+				return h
+			}
+		}
+		return nil
+	}
+	y.Missed = func(*work.Job, float64) int { return 0 }
+	y.Place = func(t *work.Task, h *agents.Host) {
+		t.State, t.Host, t.Job.Began = work.Placed, h.ID, true
+		h.Tasks[t] = true
+		h.CPUs += t.Job.Desc.CPUs
+		h.Memory += t.Job.Desc.MemoryGB
+		h.Use(t.Job.Desc.Image, t.Job.Desc.ImageGB)
+	}
+	return y
+}
+
+func (y *yard) round() { y.Round(y.hosts, y.now, time.UnixMilli(0).Add(y.now)) }
+
+// end takes a task off its machine.
+func (y *yard) end(t *work.Task) {
+	h := y.Find(t.Host)
+	delete(h.Tasks, t)
+	h.CPUs -= t.Job.Desc.CPUs
+	h.Memory -= t.Job.Desc.MemoryGB
+	t.State = work.Done
+}
+
+// job makes a job whose tasks arrive.
+func (y *yard) job(id int, urgency, image string, cpus float64, tasks int) []*work.Task {
+	j := &work.Job{Desc: &jobs.Description{ID: fmt.Sprintf("wk-%d", id), Urgency: urgency, Image: image, ImageGB: 1, CPUs: cpus, MemoryGB: cpus, Spot: true},
+		Submitted: y.now.Milliseconds() + int64(id), Tasks: map[int]*work.Task{}}
+	var list []*work.Task
+	for i := range tasks {
+		t := &work.Task{Job: j, Index: i}
+		list = append(list, t)
+		y.Arrive(t, y.now)
+	}
+	return list
+}
+
+// TestPullOrder: an arriving task runs on an idle machine that caches its image,
+// else on another, else it queues; a machine with room takes from its own queue,
+// then the extra queue, then the last task of the longest queue.
+func TestPullOrder(t *testing.T) {
+	y := newYard(small, small)
+	first := y.job(1, "standard", "x", 4, 2)
+	y.round()
+	if first[0].Host == "" || first[1].Host == "" || first[0].Host == first[1].Host {
+		t.Fatal("idle machines are left idle")
+	}
+	own := y.job(2, "standard", "x", 4, 4)
+	y.round()
+	extra := y.job(3, "standard", "y", 4, 1)
+	y.round()
+	if len(y.queues[y.hosts[0].ID]) != 2 || len(y.queues[y.hosts[1].ID]) != 2 || len(y.extra) != 1 {
+		t.Fatalf("queues %d and %d, extra %d", len(y.queues[y.hosts[0].ID]), len(y.queues[y.hosts[1].ID]), len(y.extra))
+	}
+	host := first[0].Host
+	var taken []string
+	take := func(done *work.Task) *work.Task {
+		y.end(done)
+		y.round()
+		for _, list := range [][]*work.Task{own, extra} {
+			for _, k := range list {
+				if k.State == work.Placed && k.Host == host {
+					taken = append(taken, k.Ref())
+					return k
+				}
+			}
+		}
+		t.Fatal("a machine with room takes nothing")
+		return nil
+	}
+	k := first[0]
+	for range 4 {
+		k = take(k)
+	}
+	// Two of its own queue, then the extra queue's, then the other's last.
+	if taken[2] != "wk-3/0" || taken[3] != y.lastOf(own, host) {
+		t.Errorf("taken in the order %v", taken)
+	}
+}
+
+// lastOf is the highest task of a list that a machine has had.
+func (y *yard) lastOf(list []*work.Task, host string) string {
+	best := ""
+	for _, k := range list {
+		if k.Host == host && k.Ref() > best {
+			best = k.Ref()
+		}
+	}
+	return best
+}
+
+// TestWaitBound: a large task past the bound gets the next machine, though small
+// ones of its priority take every processor that comes free.
+func TestWaitBound(t *testing.T) {
+	y := newYard(large)
+	running := y.job(1, "standard", "x", 1, 32)
+	y.round()
+	big := y.job(2, "standard", "y", 16, 1)[0]
+	next := 3
+	for step := range 200 {
+		y.now += time.Second
+		running = append(running, y.job(next, "standard", "x", 1, 2)...)
+		next++
+		y.round()
+		if big.State == work.Placed {
+			if waited := time.Duration(step) * time.Second; waited < tuning.WaitBound-2*time.Second {
+				t.Fatalf("placed after %v", waited)
+			}
+			return
+		}
+		ended := 0
+		for _, k := range running {
+			if k.State == work.Placed && ended < 2 {
+				y.end(k)
+				ended++
+			}
+		}
+	}
+	t.Error("the large task never ran")
+}
+
+// TestRoundsLoseNothing: after any rounds every task is on one machine, which
+// has room for it, or in one queue, and no machine with room is passed over.
+func TestRoundsLoseNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var types []*jobs.MachineType
+		for range rapid.IntRange(1, 6).Draw(t, "machines") {
+			types = append(types, rapid.SampledFrom([]*jobs.MachineType{small, large}).Draw(t, "type"))
+		}
+		y := newYard(types...)
+		var all []*work.Task
+		for i := range rapid.IntRange(1, 12).Draw(t, "jobs") {
+			y.now += time.Duration(rapid.IntRange(0, 40).Draw(t, "later")) * time.Second
+			all = append(all, y.job(i, rapid.SampledFrom([]string{"low", "standard", "urgent"}).Draw(t, "urgency"), rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "image"),
+				rapid.SampledFrom([]float64{1, 4, 16}).Draw(t, "cpus"), rapid.IntRange(1, 20).Draw(t, "tasks"))...)
+			for _, k := range all {
+				if k.State == work.Placed && rapid.IntRange(0, 3).Draw(t, "ends") == 0 {
+					y.end(k)
+				}
+			}
+			h := y.hosts[rapid.IntRange(0, len(y.hosts)-1).Draw(t, "host")]
+			h.Draining = rapid.SampledFrom([]string{"", "", "idle"}).Draw(t, "drain")
+			y.round()
+		}
+		for _, h := range y.hosts {
+			if h.CPUs > h.Type.CPUs+slack || h.Memory > h.Type.MemoryGB+slack {
+				t.Fatalf("%s has %g of %g processors taken", h.ID, h.CPUs, h.Type.CPUs)
+			}
+		}
+		queued := map[*work.Task]int{}
+		for _, k := range y.extra {
+			queued[k]++
+		}
+		for _, q := range y.queues {
+			for _, k := range q {
+				queued[k]++
+			}
+		}
+		for _, k := range y.arrivals {
+			queued[k]++
+		}
+		for _, k := range all {
+			if k.State == work.Waiting && queued[k] != 1 {
+				t.Fatalf("%s is in %d queues", k.Ref(), queued[k])
+			}
+		}
+	})
+}
+
+// BenchmarkRound shows what a round costs by the number of machines, all full,
+// with as many tasks waiting.
+func BenchmarkRound(bm *testing.B) {
+	for _, n := range []int{250, 2400} {
+		bm.Run(fmt.Sprint(n, "machines"), func(bm *testing.B) {
+			types := make([]*jobs.MachineType, n)
+			for i := range types {
+				types[i] = large
+			}
+			y := newYard(types...)
+			byID := map[string]*agents.Host{}
+			for _, h := range y.hosts {
+				byID[h.ID] = h
+			}
+			y.Find = func(id string) *agents.Host { return byID[id] }
+			for i := range 40 {
+				y.job(i, "standard", fmt.Sprint("image", i%16), 16, n*4/40)
+			}
+			y.round()
+			for bm.Loop() {
+				y.round()
+			}
+		})
+	}
+}
