--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"log/slog"
 	"testing"
 	"time"
@@ -12,13 +13,19 @@
 )
 
 // still is a runtime on which nothing happens by itself.
-type still struct{ now time.Duration }
+type still struct {
+	now     time.Duration
+	calls   []httpwire.Call
+	answers []func(httpwire.Answer, error)
+}
 
 func (s *still) Now() time.Duration          { return s.now }
 func (s *still) Wall() time.Time             { return time.UnixMilli(0) }
 func (s *still) Rand() float64               { return 0.5 }
 func (s *still) After(time.Duration, func()) {}
-func (s *still) Call(string, httpwire.Call, time.Duration, func(httpwire.Answer, error)) {
+func (s *still) Call(_ string, c httpwire.Call, _ time.Duration, fn func(httpwire.Answer, error)) {
+	s.calls = append(s.calls, c)
+	s.answers = append(s.answers, fn)
 }
 func (s *still) Peer(string, string, []byte, time.Duration, func([]byte, error)) {}
 
@@ -82,3 +89,45 @@
 		t.Error("the dead machine is kept, or the live one returned")
 	}
 }
+
+// TestRentalsFillTheNeed: a large backlog is rented for in few calls within the
+// cloud's budget, and what is under way is not rented for again.
+func TestRentalsFillTheNeed(t *testing.T) {
+	rt := &still{now: time.Hour}
+	set := &settings.Settings{}
+	set.Deployment.Cloud.RPS = 4
+	f := New(rt, "", leading{}, set, slog.New(slog.DiscardHandler))
+	f.types = []jobs.MachineType{{Label: "g8", CPUs: 32, MemoryGB: 128, Price: 2, SpotPrice: 0.7, BootS: 50, Zones: []string{"a", "b"}}}
+	job := &jobs.Description{CPUs: 16, MemoryGB: 35, Spot: true, EstimateS: 40, Tasks: 400}
+	asked := map[string]int{}
+	total := 0
+	for range 40 { // seconds
+		rt.now += time.Second
+		have := 0.0
+		f.Rooms(func(r *Room) { have += r.Type.CPUs })
+		waiting := max(0, 800-int(have/16))
+		f.Want([]Need{{Desc: job, Number: waiting / 2, Soft: 10, Hard: 100}, {Desc: job, Number: waiting - waiting/2, Soft: 10, Hard: 100}})
+		first := len(rt.calls)
+		f.rent(0)
+		if n := len(rt.calls) - first; n > 4 {
+			t.Fatalf("%d calls in a second", n)
+		}
+		for i := first; i < len(rt.calls); i++ {
+			var h hire
+			if err := json.Unmarshal(rt.calls[i].Body, &h); err != nil || h.Number < 1 || h.Number > 50 {
+				t.Fatalf("asked for %+v, %v", h, err)
+			}
+			asked[h.Name]++
+			total += h.Number
+		}
+	}
+	// Two tasks to a machine; what is left may wait for half a boot.
+	if wait := float64(800-2*total) * 16 * 40 / (float64(total) * 32); total > 400 || wait > 25 || len(asked) > 10 {
+		t.Errorf("%d machines in %d calls for 800 tasks, the rest waits %.0f s", total, len(asked), wait)
+	}
+	for name, n := range asked {
+		if n > 1 {
+			t.Errorf("request %s was used %d times", name, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/intake/desk_test.go
@@ -0,0 +1,155 @@
+package intake
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lemonmoor/internal/engine"
+	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/ledger"
+	"lemonmoor/internal/settings"
+)
+
+// line is a runtime whose calls and timers wait for the test.
+type line struct {
+	now    time.Duration
+	timers []func()
+	calls  []waiting
+	keys   map[string]uint64
+	epoch  uint64
+}
+
+type waiting struct {
+	call httpwire.Call
+	fn   func(httpwire.Answer, error)
+}
+
+func (l *line) Now() time.Duration               { return l.now }
+func (l *line) Wall() time.Time                  { return time.UnixMilli(0).Add(l.now) }
+func (l *line) Rand() float64                    { return 0.5 }
+func (l *line) After(_ time.Duration, fn func()) { l.timers = append(l.timers, fn) }
+func (l *line) Peer(string, string, []byte, time.Duration, func([]byte, error)) {
+}
+func (l *line) Call(_ string, c httpwire.Call, _ time.Duration, fn func(httpwire.Answer, error)) {
+	l.calls = append(l.calls, waiting{c, fn})
+}
+
+// commit carries a commit out: it fails if a guarded key exists.
+func (l *line) commit(body []byte) httpwire.Answer {
+	var c struct {
+		Guards []ledger.Guard  `json:"guards"`
+		Apply  []ledger.Change `json:"apply"`
+	}
+	if json.Unmarshal(body, &c) != nil {
+		return httpwire.Answer{Status: 400}
+	}
+	var failed []string
+	for _, g := range c.Guards {
+		if l.keys[g.Key] != g.Stamp {
+			failed = append(failed, g.Key)
+		}
+	}
+	if len(failed) > 0 {
+		raw, _ := json.Marshal(map[string]any{"failed": failed, "epoch": l.epoch})
+		return httpwire.Answer{Status: 409, Body: raw}
+	}
+	l.epoch++
+	for _, a := range c.Apply {
+		l.keys[a.Set] = l.epoch
+	}
+	return httpwire.Answer{Status: 200, Body: fmt.Appendf(nil, `{"epoch":%d}`, l.epoch)}
+}
+
+func submission(id int) []byte {
+	return fmt.Appendf(nil, `{"id":"wk-%06d","lane":"x","crew":"red","shape":"array","urgency":"urgent","pieces":3,"cpus":1,"cards":0,"memoryGb":1,
+		"kit":"img","pullGb":1,"builds":null,"yard":null,"samePlace":false,"spread":false,"loaners":true,"expectS":5,"snapshotS":0,"flushS":0,"dueS":null}`, id)
+}
+
+// TestSubmissionsAreDurableBeforeAccepted: however commits end, every submission
+// is answered once, and 201 only when its record is in the state service.
+func TestSubmissionsAreDurableBeforeAccepted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &line{keys: map[string]uint64{}, now: time.Minute}
+		log := slog.New(slog.DiscardHandler)
+		led := ledger.New(l, "state", log)
+		set := &settings.Settings{}
+		set.Deployment.Teams = []settings.Team{{Name: "red", CPUsMax: 100}}
+		set.Deployment.State.TxnOps, set.Deployment.State.ValueKB = 12, 8
+		cat := NewCatalog(l, led, set.Deployment.Teams, log)
+		d := NewDesk(l, led, cat, set, log)
+		d.Types = func() []jobs.MachineType { return []jobs.MachineType{{Label: "g8", CPUs: 8, MemoryGB: 8}} }
+		cat.Start()
+		l.calls[0].fn(httpwire.Answer{Status: 200, Body: []byte(`{"rows":[],"epoch":1}`)}, nil)
+		l.calls = nil
+		l.epoch = 1
+		answers := map[int]int{}
+		asked := 0
+		ask := func() {
+			n, id := asked, rapid.IntRange(0, 9).Draw(t, "id")
+			asked++
+			d.Submit(submission(id), func(status int, _ []byte, retry int) {
+				answers[n]++
+				if (status == 201 || status == 200) && l.keys[fmt.Sprintf("%swk-%06d", Prefix, id)] == 0 {
+					t.Fatalf("answered %d before the job was durable", status)
+				}
+				if status == 503 && retry == 0 {
+					t.Fatal("refused without a time to come back")
+				}
+			})
+		}
+		settle := func() {
+			if len(l.calls) == 0 {
+				if len(l.timers) > 0 {
+					fn := l.timers[0]
+					l.timers = l.timers[1:]
+					l.now += 300 * time.Millisecond
+					fn()
+				}
+				return
+			}
+			w := l.calls[0]
+			l.calls = l.calls[1:]
+			if w.call.Target != "/commit" { // a check: nothing new
+				w.fn(httpwire.Answer{Status: 200, Body: fmt.Appendf(nil, `{"epoch":%d,"log":[]}`, l.epoch)}, nil)
+				return
+			}
+			switch rapid.IntRange(0, 4).Draw(t, "fate") {
+			case 0: // carried out, the answer lost
+				l.commit(w.call.Body)
+				w.fn(httpwire.Answer{}, engine.ErrNoAnswer)
+			case 1:
+				w.fn(httpwire.Answer{Status: 503}, nil)
+			case 2: // carried out twice
+				a := l.commit(w.call.Body)
+				l.commit(w.call.Body)
+				w.fn(a, nil)
+			default:
+				w.fn(l.commit(w.call.Body), nil)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "ask") {
+				ask()
+			} else {
+				settle()
+			}
+		}
+		for range 2000 {
+			settle()
+			if len(l.calls) == 0 && len(l.timers) == 0 {
+				break
+			}
+		}
+		for n := range asked {
+			if answers[n] != 1 {
+				t.Fatalf("submission %d was answered %d times", n, answers[n])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/ledger/mirror_test.go
@@ -0,0 +1,197 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lemonmoor/internal/engine"
+	"lemonmoor/internal/httpwire"
+)
+
+// store is a small state service on a clock of its own. Answers wait until they
+// are let go, so that a test can delay, lose and reorder them.
+type store struct {
+	now    time.Duration
+	epoch  uint64
+	values map[string]string
+	stamps map[string]uint64
+	log    []Event
+	oldest uint64 // changes up to this one are forgotten
+	timers []func()
+	calls  []request
+}
+
+type request struct {
+	call httpwire.Call
+	fn   func(httpwire.Answer, error)
+}
+
+func newStore() *store { return &store{values: map[string]string{}, stamps: map[string]uint64{}} }
+
+func (s *store) Now() time.Duration               { return s.now }
+func (s *store) Wall() time.Time                  { return time.UnixMilli(0).Add(s.now) }
+func (s *store) Rand() float64                    { return 0.5 }
+func (s *store) After(_ time.Duration, fn func()) { s.timers = append(s.timers, fn) }
+func (s *store) Peer(string, string, []byte, time.Duration, func([]byte, error)) {
+}
+func (s *store) Call(_ string, c httpwire.Call, _ time.Duration, fn func(httpwire.Answer, error)) {
+	s.calls = append(s.calls, request{c, fn})
+}
+
+func (s *store) set(key, value string) {
+	s.epoch++
+	if value == "" {
+		delete(s.values, key)
+		delete(s.stamps, key)
+		s.log = append(s.log, Event{Remove: key, Stamp: s.epoch})
+		return
+	}
+	s.values[key], s.stamps[key] = value, s.epoch
+	s.log = append(s.log, Event{Set: key, Value: json.RawMessage(value), Stamp: s.epoch})
+}
+
+// answer carries a request out now.
+func (s *store) answer(c httpwire.Call) httpwire.Answer {
+	u, err := url.Parse(c.Target)
+	if err != nil {
+		return httpwire.Answer{Status: 400}
+	}
+	reply := func(v any) httpwire.Answer {
+		raw, _ := json.Marshal(v)
+		return httpwire.Answer{Status: 200, Body: raw}
+	}
+	prefix := u.Query().Get("under")
+	switch u.Path {
+	case "/keys":
+		rows := []Row{}
+		for key, v := range s.values {
+			if strings.HasPrefix(key, prefix) && key > u.Query().Get("since") {
+				rows = append(rows, Row{key, json.RawMessage(v), s.stamps[key]})
+			}
+		}
+		sort.Slice(rows, func(i, k int) bool { return rows[i].Key < rows[k].Key })
+		more := len(rows) > 2 // small pages
+		if more {
+			rows = rows[:2]
+		}
+		return reply(map[string]any{"rows": rows, "hasNext": more, "epoch": s.epoch})
+	case "/watch":
+		since, _ := strconv.ParseUint(u.Query().Get("since"), 10, 64)
+		if since < s.oldest {
+			return httpwire.Answer{Status: 410}
+		}
+		log := []Event{}
+		for _, e := range s.log {
+			if e.Stamp > since && strings.HasPrefix(e.Set+e.Remove, prefix) {
+				log = append(log, e)
+			}
+		}
+		return reply(map[string]any{"epoch": s.epoch, "log": log})
+	}
+	return httpwire.Answer{Status: 400}
+}
+
+// step lets one timer or one answer go.
+func (s *store) step(lost bool) bool {
+	if len(s.timers) > 0 {
+		fn := s.timers[0]
+		s.timers = s.timers[1:]
+		s.now += 200 * time.Millisecond
+		fn()
+		return true
+	}
+	if len(s.calls) == 0 {
+		return false
+	}
+	r := s.calls[0]
+	s.calls = s.calls[1:]
+	if lost {
+		r.fn(httpwire.Answer{}, engine.ErrNoAnswer)
+	} else {
+		r.fn(s.answer(r.call), nil)
+	}
+	return true
+}
+
+// TestMirrorIsCurrentWhenChecked: whatever is lost, and when the history is too
+// old, a copy that a check has proven holds all that was written before the
+// check was asked for.
+func TestMirrorIsCurrentWhenChecked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newStore()
+		led := New(s, "state", slog.New(slog.DiscardHandler))
+		m := NewMirror(s, led, "a/")
+		have := map[string]string{}
+		m.Apply = func(key string, value json.RawMessage, _ uint64) {
+			if value == nil {
+				delete(have, key)
+			} else {
+				have[key] = string(value)
+			}
+		}
+		m.Reset = func([]Row) { clear(have) }
+		m.Start()
+		for range rapid.IntRange(5, 120).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				key := fmt.Sprintf("%s/%d", rapid.SampledFrom([]string{"a", "b"}).Draw(t, "prefix"), rapid.IntRange(0, 6).Draw(t, "key"))
+				value := rapid.SampledFrom([]string{"1", "2", "3", ""}).Draw(t, "value")
+				if _, there := s.values[key]; value != "" || there {
+					s.set(key, value)
+				}
+			case 2:
+				want := map[string]string{}
+				for key, v := range s.values {
+					if strings.HasPrefix(key, "a/") {
+						want[key] = v
+					}
+				}
+				asked := s.epoch
+				m.Check(func(err error) {
+					if err == nil && asked == s.epoch && fmt.Sprint(have) != fmt.Sprint(want) {
+						t.Fatalf("proven current: %v, the service has %v", have, want)
+					}
+				})
+			case 3:
+				if rapid.IntRange(0, 4).Draw(t, "forget") == 0 {
+					s.oldest = s.epoch
+				}
+			default:
+				s.step(rapid.IntRange(0, 5).Draw(t, "lost") == 0)
+			}
+		}
+	})
+}
+
+// TestPatienceFollowsThePace: a slow service is waited for, within bounds, and
+// a quick one is not.
+func TestPatienceFollowsThePace(t *testing.T) {
+	s := newStore()
+	led := New(s, "state", slog.New(slog.DiscardHandler))
+	answer := func(took time.Duration) {
+		led.Commit(nil, nil, func(Result) {})
+		r := s.calls[0]
+		s.calls = s.calls[1:]
+		s.now += took
+		r.fn(httpwire.Answer{Status: 200, Body: []byte(`{"epoch":1}`)}, nil)
+	}
+	for range 30 {
+		answer(5 * time.Millisecond)
+	}
+	quick := led.Patience()
+	for range 30 {
+		answer(100 * time.Millisecond)
+	}
+	if slow := led.Patience(); slow < 2*quick || slow > 10*time.Second {
+		t.Errorf("waits %v for a quick service, %v for a slow one", quick, slow)
+	}
+}
