--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -554,6 +554,16 @@
 // back.
 func (f *Fleet) judge() {
 	now := f.rt.Now()
+	machines, idle := 0, 0
+	for _, m := range f.machines {
+		if m.known && !m.release {
+			machines++
+			if m.idles(f) {
+				idle++
+			}
+		}
+	}
+	spare := max(tuning.SpareLeast, int(tuning.Spare*float64(machines)))
 	for _, m := range f.machines {
 		if m.release {
 			continue
@@ -577,8 +587,13 @@
 			// Kept ready as long as a spot machine would be for the money.
 			keep = time.Duration(float64(keep) * max(t.SpotPrice/t.Price, tuning.IdleLeast))
 		}
-		if m.drain == "" && f.fresh(m) && m.state.Open && !m.state.Busy && now-m.idle > keep && now-f.begun > keep/2 {
+		if idle > spare {
+			// After a burst most are idle at once: so many are not soon needed.
+			keep = min(keep, time.Duration(float64(f.set.IdleKeep())*tuning.IdleLeast))
+		}
+		if m.idles(f) && now-m.idle > keep && now-f.begun > keep/2 {
 			m.drain = "idle" // its owner agrees, then gives it back
+			idle--
 		}
 	}
 	for id, at := range f.returned {
@@ -588,6 +603,11 @@
 	}
 }
 
+// idles tells whether a machine takes tasks and has none.
+func (m *machine) idles(f *Fleet) bool {
+	return m.drain == "" && f.fresh(m) && m.state.Open && !m.state.Busy
+}
+
 // release returns machines to the cloud.
 func (f *Fleet) release(term int) {
 	var names []string
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -229,6 +229,10 @@
 	// IdleLeast is the least part of it that an ordinary machine is kept, which
 	// costs several times a spot one.
 	IdleLeast = 0.3
+	// Spare is the part of the machines that may be idle for all of that time;
+	// beyond it, and beyond SpareLeast, they go back as soon as dear ones do.
+	Spare      = 0.15
+	SpareLeast = 4
 	// BootFactor times the nominal boot time, plus BootSlack, is when a
 	// machine that never reported is deleted.
 	BootFactor = 2.0
