--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -364,6 +364,7 @@
 		}
 		for k := range h.Tasks {
 			if k.Sent {
+				t.move(h, k, now)
 				continue
 			}
 			// Never launched: free for another machine when this one does
@@ -380,6 +381,21 @@
 	}
 }
 
+// move stops a running task that has to go on elsewhere: a replica on a machine
+// that is drained, or one that can save, in time before the cloud takes its
+// machine. The machine is told at once, and with each report until it is gone.
+func (t *Table) move(h *Host, k *work.Task, now time.Duration) {
+	d := k.Job.Desc
+	saves := d.SaveEvery > 0 && h.Notice > 0 &&
+		now > h.Notice-time.Duration(d.SaveS*float64(time.Second))-tuning.NoticeReserve-tuning.SaveMargin
+	if h.Draining == "" || k.Stopping || !k.Running || !(d.Service() || saves) {
+		return
+	}
+	k.Stopping, k.WindDown = true, d.SaveS
+	t.ready[h] = true
+	t.log.Info("moving task", "host", h.ID, "task", k.Ref(), "why", h.Draining)
+}
+
 // Discard takes a task that was never launched off its machine; its record is
 // gone.
 func (t *Table) Discard(k *work.Task) {
@@ -739,7 +755,7 @@
 			continue // looked at again when the answer is in
 		}
 		delete(t.ready, h)
-		if !h.Up || h.Token != t.office.Token() || h.Draining != "" || h.Silent || h.Deaf {
+		if !h.Up || h.Token != t.office.Token() || h.Silent || h.Deaf {
 			continue
 		}
 		t.direct(h)
@@ -753,12 +769,18 @@
 	msg := Orders{Token: token, Shift: h.Shift}
 	var carried []*work.Task
 	for k := range h.Tasks {
-		if k.Durable && !k.Sent && !k.Job.Cancelled && len(carried) < tuning.OrdersPerMessage {
+		if h.Draining == "" && k.Durable && !k.Sent && !k.Job.Cancelled && len(carried) < tuning.OrdersPerMessage {
 			carried = append(carried, k)
 			msg.Orders = append(msg.Orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Attempt})
 		}
 	}
-	if len(carried) == 0 {
+	for k := range h.Tasks {
+		// Repeated or late, a halt does no harm: it names the attempt.
+		if k.Stopping && k.Seen && len(msg.Orders) < tuning.OrdersPerMessage {
+			msg.Orders = append(msg.Orders, halt(k.Ref(), k.Attempt, k.WindDown))
+		}
+	}
+	if len(msg.Orders) == 0 {
 		return
 	}
 	body, err := json.Marshal(msg)
--- a/internal/agents/table_test.go
+++ b/internal/agents/table_test.go
@@ -274,6 +274,52 @@
 	}
 }
 
+// TestDrainedMachineMovesWork: replicas leave a machine that is drained, and
+// tasks that can save are told to in time before the cloud takes theirs; others
+// run on.
+func TestDrainedMachineMovesWork(t *testing.T) {
+	for name, c := range map[string]struct {
+		shape     string
+		saveEvery float64
+		notice    float64
+		moves     bool
+	}{
+		"a replica":                {"daemon", 0, 60, true},
+		"a task without saves":     {"array", 0, 6, false},
+		"a task that saves":        {"array", 30, 6, true},
+		"a task that saves, early": {"array", 30, 60, false},
+	} {
+		b := newBench(1)
+		b.job.Desc.Shape, b.job.Desc.SaveEvery, b.job.Desc.SaveS = c.shape, c.saveEvery, 4
+		b.worker.token = b.token
+		b.table.Report(b.report())
+		k := b.job.Tasks[0]
+		b.table.Place(k, b.table.Get("vm-1"))
+		k.Durable = true
+		sent := b.now
+		_, body := b.table.Report(b.report())
+		b.hear(body, 1, sent)
+		b.now += time.Second
+		r := b.report()
+		r.Notice = &c.notice
+		b.table.Report(r)
+		b.table.Tick()
+		b.calls = nil
+		b.table.Settle()
+		if k.Stopping != c.moves || len(b.calls) > 0 != c.moves {
+			t.Errorf("%s: stopping %v, %d orders", name, k.Stopping, len(b.calls))
+			continue
+		}
+		if c.moves {
+			b.calls[0].fn(b.deliver(b.calls[0]), nil)
+			b.table.Report(b.report())
+			if k.State != work.Waiting {
+				t.Errorf("%s is not free for another machine", name)
+			}
+		}
+	}
+}
+
 // TestCopyOpensNothing: a late copy of a report opens no machine for a new
 // owner, shows no task gone, and never moves the lease's end to earlier.
 func TestCopyOpensNothing(t *testing.T) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -184,6 +184,8 @@
 	// NoticeReserve is how long before the cloud takes a machine it is
 	// returned, so that its tasks are known to be gone.
 	NoticeReserve = 2 * time.Second
+	// SaveMargin is what an order to save may take on its way, a tick included.
+	SaveMargin = 3 * time.Second
 )
 
 // Placement.
