--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -251,14 +251,26 @@
 		p.place(p.extra[i], h)
 		return true
 	}
-	// The last task of the longest queue that has one for this machine.
+	// The last task of the longest queue that has one for this machine; queues
+	// with one whose image it caches come before the others. Several machines
+	// cache an image here, each with its part of the tasks that wait for it: one
+	// that has done its part goes on with theirs rather than fetch another.
 	var best *work.Task
-	longest := 0
+	longest, cached := 0, false
 	for id, q := range p.queues {
-		if id == h.ID || len(q) < longest {
+		if id == h.ID {
 			continue
 		}
-		if i := last(q, h, prio, now); i >= 0 && (len(q) > longest || before(q[i], best)) {
+		if i := last(q, h, prio, now, true); i >= 0 {
+			if !cached || len(q) > longest || (len(q) == longest && before(q[i], best)) {
+				best, longest, cached = q[i], len(q), true
+			}
+			continue
+		}
+		if cached || len(q) < longest {
+			continue
+		}
+		if i := last(q, h, prio, now, false); i >= 0 && (len(q) > longest || before(q[i], best)) {
 			best, longest = q[i], len(q)
 		}
 	}
@@ -298,10 +310,13 @@
 	return -1
 }
 
-// last finds the last such task.
-func last(q []*work.Task, h *agents.Host, prio jobs.Priority, now time.Duration) int {
+// last finds the last such task, if asked only one whose image is cached.
+func last(q []*work.Task, h *agents.Host, prio jobs.Priority, now time.Duration, cached bool) int {
 	var skip *work.Job
 	for i := len(q) - 1; i >= 0; i-- {
+		if cached && !h.Caches(q[i].Job.Desc.Image) {
+			continue
+		}
 		if candidate(q[i], h, prio, now, &skip) {
 			return i
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -126,6 +126,33 @@
 	return best
 }
 
+// TestCachedWorkFirst: of other machines' queues, those with work whose image is
+// cached come first, though another is longer.
+func TestCachedWorkFirst(t *testing.T) {
+	y := newYard(small, small, small)
+	x := y.job(1, "standard", "x", 4, 2)
+	other := y.job(2, "standard", "y", 4, 1)
+	y.round()
+	y.job(3, "standard", "y", 4, 3) // all in one queue
+	y.round()
+	y.job(4, "standard", "x", 4, 3) // two and one
+	y.round()
+	thief := x[0].Host
+	done := x[0]
+	var taken []string
+	for range 3 {
+		y.end(done)
+		y.round()
+		for k := range y.Find(thief).Tasks {
+			done = k
+		}
+		taken = append(taken, done.Job.Desc.Image)
+	}
+	if len(y.queues[other[0].Host]) != 3 || fmt.Sprint(taken) != "[x x x]" {
+		t.Errorf("took %v, %d left in the longest queue", taken, len(y.queues[other[0].Host]))
+	}
+}
+
 // TestWaitBound: a large task past the bound gets the next machine, though small
 // ones of its priority take every processor that comes free.
 func TestWaitBound(t *testing.T) {
