--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -93,8 +93,6 @@
 	DoneDelay = 700 * time.Millisecond
 	// CommitBytes keeps a transaction below the service's 64 KiB.
 	CommitBytes = 48 * 1024
-	// GuardsPerOp is how many conditions a transaction may hold per change.
-	GuardsPerOp = 4
 )
 
 // Work records.
@@ -141,8 +139,6 @@
 	// UnhealthyAfter is how long a node may go without any answer from the
 	// state service before it calls itself unhealthy, if a peer has one.
 	UnhealthyAfter = 4 * time.Second
-	// FetchLimit is the number of job descriptions a node serves at once.
-	FetchLimit = 64
 )
 
 // Workers.
