--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"reflect"
 	"slices"
@@ -161,3 +162,25 @@
 		}
 	})
 }
+
+// BenchmarkPack shows what it costs to write a page, by the tasks on it.
+func BenchmarkPack(b *testing.B) {
+	for _, n := range []int{50, 500} {
+		b.Run(fmt.Sprint(n, "tasks"), func(b *testing.B) {
+			index := make([]int, n)
+			for i := range index {
+				index[i] = i
+			}
+			j := &Job{Desc: &jobs.Description{ID: "wk-000412"}, Tasks: map[int]*Task{}, Chunks: map[string]*Chunk{}}
+			tasks := Load(j, NewRecord(0, "wk-000412", 0, index, nil, nil)).Tasks
+			for i, k := range tasks {
+				k.State, k.Attempt, k.Host = Placed, 1, fmt.Sprintf("vm-%06d", i/2)
+			}
+			for b.Loop() {
+				if _, _, rest, err := Pack(slices.Clone(tasks), tuning.PageBytes, 12); err != nil || len(rest) > 0 {
+					b.Fatal(len(rest), err)
+				}
+			}
+		})
+	}
+}
