--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -46,7 +46,16 @@
 	Memory float64
 
 	Refused time.Duration // no tasks before, after it said it is full
-	Failed  int           // tasks that failed here since one ran well
+	// Unheard counts reports in a row that were answered under a token which
+	// the next did not show, Lost launches in a row that never showed: proof
+	// that it reports, but does not hear. Deaf: found so, and when.
+	Unheard int
+	Lost    int
+	Deaf    bool
+	deaf    time.Duration
+	probed  time.Duration
+
+	Failed  int // tasks that failed here since one ran well
 	FailedJ map[string]bool
 	flying  bool // a direct order is under way
 	images  []cached
@@ -148,6 +157,7 @@
 		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray = 0, 0, 0, false, 0
 		h.LeaseFrom = t.begun + t.set.Hold()
 		h.Silent = false
+		h.hears()
 	}
 	clear(t.ready)
 	token := t.office.Token()
@@ -197,7 +207,7 @@
 func (t *Table) Open(h *Host) bool {
 	now := t.rt.Now()
 	suspect := time.Duration(float64(t.set.Report()) * tuning.SuspectReports)
-	return h.Up && !h.Silent && h.Draining == "" && h.Type != nil && h.Stray == 0 &&
+	return h.Up && !h.Silent && !h.Deaf && h.Draining == "" && h.Type != nil && h.Stray == 0 &&
 		h.Token >= t.office.Token() && now-h.Heard < suspect && now >= h.Refused
 }
 
@@ -230,6 +240,7 @@
 // placement is durable.
 func (t *Table) Place(k *work.Task, h *Host) {
 	k.State, k.Host = work.Placed, h.ID
+	k.Job.Began = true
 	k.Attempt++
 	k.Durable, k.Sent, k.Flying, k.Doubt, k.Seen, k.Running, k.Stopping = false, false, false, false, false, false, false
 	k.MinToken, k.Shift, k.Tick = t.office.Token(), 0, 0
@@ -270,14 +281,20 @@
 		return
 	}
 	now := t.rt.Now()
-	for _, h := range t.hosts {
+	for _, h := range t.list {
+		if h.Deaf {
+			t.probe(h)
+			if len(h.Tasks) == 0 && h.Draining == "" && now-h.deaf > t.set.WorkerLease() {
+				t.Drain(h.ID, deafDrain) // settled, and it has not come back
+			}
+		}
 		for k := range h.Tasks {
 			if k.Sent {
 				continue
 			}
 			// Never launched: free for another machine when this one does
 			// not take tasks any more.
-			if h.Draining != "" || k.Job.Cancelled || (h.Up && now-h.Heard > tuning.DeadAfter/2) || !h.Up {
+			if h.Draining != "" || h.Deaf || k.Job.Cancelled || (h.Up && now-h.Heard > tuning.DeadAfter/2) || !h.Up {
 				t.proveGone(h, k)
 			}
 		}
@@ -337,7 +354,7 @@
 		return "taken by the cloud"
 	case t.Quiet(h) && silent*2 <= up:
 		return "silent"
-	case h.Draining != "" && h.Notice == 0 && len(h.Tasks) == 0 && h.Stray == 0:
+	case h.Draining != "" && h.Notice == 0 && len(h.Tasks) == 0 && (h.Stray == 0 || h.Draining == deafDrain):
 		return h.Draining
 	}
 	return ""
@@ -372,16 +389,85 @@
 	if h.Type == nil {
 		h.Type = t.Type(r.Build)
 	}
-	h.Silent = false
-	h.LeaseFrom = now
+	if r.Token >= token || r.Token > h.Token {
+		h.Unheard = 0
+	} else {
+		h.Unheard++
+	}
 	if !t.book.IsLoaded() {
 		h.Shift, h.Tick, h.Token = r.Shift, r.Tick, r.Token
+		h.Silent, h.LeaseFrom = false, now
 		return t.answer(token, nil)
 	}
 	orders := t.read(h, r, true)
+	t.listen(h)
+	if h.Deaf {
+		// Not answered, so that its lease surely runs from the last answer
+		// that it can have heard, and its tasks are settled by that.
+		return 503, Unreachable
+	}
+	h.Silent, h.LeaseFrom = false, now
 	return t.answer(token, orders)
 }
 
+// listen decides whether a machine that reports hears us too. To have been heard
+// is no proof of that: seen as alive, it swallowed task after task.
+func (t *Table) listen(h *Host) {
+	if h.Deaf || (h.Unheard < tuning.DeafReports && h.Lost < tuning.DeafLaunches) {
+		return
+	}
+	h.Deaf, h.deaf, h.probed = true, t.rt.Now(), t.rt.Now()
+	t.log.Info("machine reports but does not hear", "host", h.ID, "unheard", h.Unheard, "lost", h.Lost)
+}
+
+// probe asks a deaf machine directly. No order is in the message and it renews
+// no lease; its answer is the proof that the machine hears again.
+func (t *Table) probe(h *Host) {
+	now := t.rt.Now()
+	if now-h.probed < tuning.ProbeEvery {
+		return
+	}
+	h.probed = now
+	token := t.office.Token()
+	body, err := json.Marshal(Orders{Token: token, Shift: h.Shift, Orders: []Order{}})
+	if err != nil {
+		return
+	}
+	t.rt.Call(h.Addr, httpwire.Call{Method: "POST", Target: "/orders", Body: body}, tuning.OrderTimeout,
+		func(ans httpwire.Answer, err error) {
+			if err != nil || t.office.Token() != token || t.hosts[h.ID] != h || !h.Deaf {
+				return
+			}
+			r, err := ParseReport(ans.Body)
+			if err != nil || r.Host != h.ID || r.Token < token {
+				return
+			}
+			t.log.Info("machine hears again", "host", h.ID)
+			h.hears()
+			if h.Draining == deafDrain {
+				h.Draining = ""
+			}
+		})
+}
+
+func (h *Host) hears() { h.Deaf, h.Unheard, h.Lost = false, 0, 0 }
+
+const deafDrain = "does not hear"
+
+// Deaf tells how many of the machines that report do not hear, and how many
+// report.
+func (t *Table) Deaf() (deaf, up int) {
+	for _, h := range t.list {
+		if h.Up && !h.Silent {
+			up++
+			if h.Deaf {
+				deaf++
+			}
+		}
+	}
+	return deaf, up
+}
+
 func (t *Table) answer(token uint64, orders []Order) (int, []byte) {
 	if orders == nil {
 		orders = []Order{}
@@ -420,6 +506,7 @@
 		orders = t.listed(h, &r.Tasks[i], listed, acked, orders)
 	}
 	if beat {
+		lost := false
 		for k := range h.Tasks {
 			if listed[k] || !k.Sent || k.Flying {
 				continue
@@ -429,6 +516,7 @@
 				// A later session: the worker killed all of the earlier one.
 				t.proveGone(h, k)
 			case r.Token >= k.MinToken && acked && !k.Doubt && (k.Shift == 0 || (r.Shift == k.Shift && r.Tick > k.Tick)):
+				lost = lost || (k.Shift > 0 && !k.Seen)
 				t.proveGone(h, k)
 			case k.Doubt:
 				// The order may still be under way; a new token settles it.
@@ -436,6 +524,9 @@
 				t.office.Renew()
 			}
 		}
+		if lost {
+			h.Lost++
+		}
 	}
 	if !acked {
 		return nil
@@ -451,7 +542,7 @@
 			orders = append(orders, halt(k.Ref(), k.Attempt, k.WindDown))
 		}
 	}
-	if beat && t.office.Valid() && h.Draining == "" {
+	if beat && t.office.Valid() && h.Draining == "" && !h.Deaf {
 		for k := range h.Tasks {
 			if k.Durable && !k.Sent && !k.Job.Cancelled && len(orders) < tuning.OrdersPerMessage {
 				k.Sent, k.Shift, k.Tick = true, r.Shift, r.Tick
@@ -493,6 +584,9 @@
 		return append(orders, forget)
 	}
 	seen[k] = true
+	if k.Shift > 0 && !k.Seen {
+		h.Lost = 0 // it has heard of this one
+	}
 	k.Seen, k.Sent = true, true
 	if k.Flying {
 		// The order's own answer is still to come and tells the rest.
@@ -570,7 +664,7 @@
 			continue // looked at again when the answer is in
 		}
 		delete(t.ready, h)
-		if !h.Up || h.Token != t.office.Token() || h.Draining != "" || h.Silent {
+		if !h.Up || h.Token != t.office.Token() || h.Draining != "" || h.Silent || h.Deaf {
 			continue
 		}
 		t.direct(h)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -145,6 +145,7 @@
 	n.rt.After(tuning.DigestEvery, n.tick)
 	now := n.rt.Now()
 	up := false
+	deaf, hearing := 0, 0
 	for b, o := range n.owners {
 		if o.token == 0 {
 			continue
@@ -154,11 +155,13 @@
 		for _, h := range o.table.All() {
 			up = up || (h.Up && !h.Silent)
 		}
+		d, all := o.table.Deaf()
+		deaf, hearing = deaf+d, hearing+all-d
 		n.tell(b)
 	}
-	if up && now-n.lastBeat > tuning.DeafAfter {
-		// Not one report for any block: it is this node that is cut off,
-		// not every machine that has died.
+	if up && (now-n.lastBeat > tuning.DeafAfter || deaf > hearing) {
+		// Not one report for any block, or nobody hears the answers: it is
+		// this node that is cut off, not every machine that has died.
 		n.office.GiveUp()
 		n.lastBeat = now
 	}
--- /dev/null
+++ b/internal/controller/dump_test.go
@@ -0,0 +1,34 @@
+package controller
+
+import (
+	"fmt"
+	"os"
+)
+
+// dump writes what the nodes think, for the search after a failed day.
+func (w *world) dump() {
+	if os.Getenv("LEMONMOOR_SIM_LOG") == "" {
+		return
+	}
+	for _, n := range w.nodes {
+		if n.node == nil {
+			fmt.Println(n.name, "down")
+			continue
+		}
+		fmt.Println(n.name, "lead", n.node.office.Lead(), "leader", n.node.office.Leader(), "valid", n.node.office.Valid())
+		for b, o := range n.node.owners {
+			fmt.Println("  block", b, "token", o.token, "owner", n.node.office.Owner(b), "loaded", o.shelf.IsLoaded())
+			for _, h := range o.table.All() {
+				fmt.Printf("    %s up %v open %v deaf %v drain %q silent %v token %d heard %v tasks %d stray %d\n", h.ID, h.Up, o.table.Open(h), h.Deaf, h.Draining, h.Silent, h.Token, h.Heard, len(h.Tasks), h.Stray)
+				for k := range h.Tasks {
+					fmt.Printf("      %s %+v\n", k.Ref(), *k)
+				}
+			}
+		}
+	}
+	for _, k := range w.cloud.workers {
+		if !k.released {
+			fmt.Printf("  worker %s up %v dead %v deaf %v shift %d tick %d token %d node %d tasks %d\n", k.host, k.up, k.dead, k.deaf, k.shift, k.tick, k.token, k.node, len(k.tasks))
+		}
+	}
+}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -92,7 +92,7 @@
 			o.node.rt.After(wait, func() { o.rounding = false })
 		} else {
 			o.wanted, o.lastRound = false, now
-			o.planner.Round(o.table.All(), now)
+			o.planner.Round(o.table.All(), now, o.node.rt.Wall())
 		}
 	}
 	o.shelf.Flush()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,6 +68,7 @@
 type word struct {
 	token, seq uint64
 	heard      time.Duration
+	since      time.Duration // when this owner was first heard, without a gap
 	any        bool
 }
 
@@ -140,6 +141,9 @@
 	Desc   *jobs.Description
 	Zone   string // fixed at hand-out, "" for any
 	Number int
+	// Behind is tasks of the job that the team's limit holds back: they cannot
+	// use more machines now, but are part of the queue.
+	Behind int
 	// Soft and Hard are how many seconds they can wait before an aim of the
 	// users is missed; Hard leaves out the aim for work within a guarantee.
 	Soft, Hard float64
@@ -410,7 +414,11 @@
 	if !d.Full && (!w.any || w.token != d.Token || d.Seq != w.seq+1) {
 		r.Full = true // what it tells is true, but something is missing
 	} else {
-		*w = word{d.Token, d.Seq, now, true}
+		since := w.since
+		if !w.any || w.token != d.Token || now-w.heard > tuning.DigestStale {
+			since = now
+		}
+		*w = word{d.Token, d.Seq, now, since, true}
 	}
 	// A word whose answer is lost is followed by a full one, which asks for
 	// these anew.
@@ -524,8 +532,16 @@
 				boot = t.BootS
 			}
 			limit := time.Duration(boot*tuning.BootFactor*float64(time.Second)) + tuning.BootSlack
-			if m.booting && now-m.rented > limit && now-f.begun > tuning.BootSlack {
+			w := &f.words[m.block]
+			switch {
+			case now-m.rented <= limit || now-f.begun <= tuning.BootSlack:
+			case m.booting:
 				f.giveBack(m, "never booted")
+			case m.listed && w.any && now-w.heard < tuning.DigestStale && now-w.since > limit:
+				// It is up, and its owner has been there all the time. One that
+				// died before its first report counted as booting for ever, and
+				// nothing was rented in its place.
+				f.giveBack(m, "never reported")
 			}
 			continue
 		}
@@ -606,11 +622,17 @@
 		return
 	}
 	have := f.capacity()
-	var queued float64 // seconds of one processor, of the needs so far
+	behind := map[string]float64{} // by team, as queued
+	for i := range f.needs {
+		n := &f.needs[i]
+		behind[n.Desc.Team] += float64(n.Behind) * n.Desc.CPUs * max(n.Desc.EstimateS, 1)
+	}
+	var before float64 // seconds of one processor, of the needs so far
 	for i := range f.needs {
 		n := &f.needs[i]
-		queued += float64(n.Number) * n.Desc.CPUs * max(n.Desc.EstimateS, 1)
-		for {
+		before += float64(n.Number) * n.Desc.CPUs * max(n.Desc.EstimateS, 1)
+		queued := before + behind[n.Desc.Team]
+		for n.Number > 0 {
 			cpus := 0.0
 			for k, c := range have {
 				if room := f.empty(k); room.Type != nil && room.Could(n.Desc, n.Zone) {
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -183,6 +183,11 @@
 			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Soft: soft, Hard: hard})
 		}
 	}
+	held := func(p *plan, n int) {
+		if n > 0 {
+			unmet = append(unmet, fleet.Need{Desc: p.desc, Behind: n})
+		}
+	}
 	// Tasks already in a block's queues take the room there is in it.
 	for _, p := range l.order {
 		if p.cancelled {
@@ -205,7 +210,11 @@
 	l.reserve()
 	for _, p := range l.order {
 		u := l.usage[p.desc.Team]
-		if p.cancelled || p.ending || p.left() == 0 || u == nil || full[p.desc.Team] {
+		if p.cancelled || p.ending || p.left() == 0 || u == nil {
+			continue
+		}
+		if full[p.desc.Team] {
+			held(p, p.left())
 			continue
 		}
 		if p.zones == nil && (p.desc.OneZone || p.desc.Spread) {
@@ -222,9 +231,10 @@
 			limit -= max(0, u.kept-u.urgent)
 		}
 		n := min(p.left(), share(limit-u.cpus, p.desc.CPUs), share(u.cardsMax-u.cards, p.desc.Cards))
-		if n < p.left() && (p.desc.Priority() >= jobs.High || p.desc.Gang()) {
-			full[p.desc.Team] = true // lower work does not go past it
+		if n < p.left() && (p.desc.Priority() >= jobs.High || p.desc.Gang()) || n == 0 && p.starved {
+			full[p.desc.Team] = true // what comes after does not go past it
 		}
+		held(p, p.left()-n)
 		if p.desc.Gang() && n < p.left() {
 			continue // a gang is handed out whole or not at all
 		}
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -205,15 +205,17 @@
 	slices.SortFunc(records, func(a, b *work.Record) int { return cmp.Compare(a.Number, b.Number) })
 	for _, r := range records {
 		for k, i := range r.Index {
+			// A task may have been given back more than once.
 			if m := r.Marks[k]; m.State == work.Returned {
 				p.attempts[i] = m.Attempt
-				p.back = append(p.back, i)
-			} else if _, was := p.attempts[i]; was {
+			} else {
 				delete(p.attempts, i)
-				p.back = slices.DeleteFunc(p.back, func(o int) bool { return o == i })
 			}
 		}
 	}
+	for i := range p.attempts {
+		p.back = append(p.back, i)
+	}
 	slices.Sort(p.back)
 }
 
@@ -353,8 +355,9 @@
 	l.mark(p, r.Block, was, -1)
 	l.mark(p, r.Block, now, 1)
 	if now.State == work.Returned && !p.cancelled {
-		i, _ := slices.BinarySearch(p.back, r.Index[k])
-		p.back = slices.Insert(p.back, i, r.Index[k])
+		if i, there := slices.BinarySearch(p.back, r.Index[k]); !there {
+			p.back = slices.Insert(p.back, i, r.Index[k])
+		}
 		p.attempts[r.Index[k]] = now.Attempt
 	}
 	if p.open == 0 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,6 +12,7 @@
 
 	"lemonmoor/internal/agents"
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/work"
 )
 
@@ -99,11 +100,13 @@
 	// waiting is one task of each job in the queues, for a quick look at
 	// whether a machine has room for anything at all.
 	waiting []*work.Task
+	wall    int64                          // time of day, ms
+	kept    map[*agents.Host]jobs.Priority // below these, nothing is placed there
 }
 
 // Round places what can be placed on the machines given.
-func (p *Planner) Round(hosts []*agents.Host, now time.Duration) {
-	r := &round{now: now}
+func (p *Planner) Round(hosts []*agents.Host, now time.Duration, wall time.Time) {
+	r := &round{now: now, wall: wall.UnixMilli()}
 	for _, h := range hosts {
 		if !p.Open(h) {
 			continue
@@ -169,7 +172,7 @@
 
 // pull lets the machines take from the queues, one priority after the other.
 func (p *Planner) pull(r *round) {
-	kept := p.overdue(r)
+	p.overdue(r)
 	for prio := jobs.Production; prio >= jobs.Low; prio-- {
 		var some []*work.Task
 		for _, t := range r.waiting {
@@ -181,7 +184,7 @@
 			continue
 		}
 		for _, h := range r.free {
-			if kept[h] > prio {
+			if r.kept[h] > prio {
 				continue
 			}
 			for slices.ContainsFunc(some, func(t *work.Task) bool { return fits(t, h) }) && p.pullOne(h, prio, r.now) {
@@ -258,31 +261,35 @@
 	return -1
 }
 
-// overdue starts the tasks that have waited past the bound, before anything
-// else. One that fits nowhere keeps the machine where most is free from taking
-// other work of its priority or below, so that its turn comes.
-func (p *Planner) overdue(r *round) map[*agents.Host]jobs.Priority {
-	kept := map[*agents.Host]jobs.Priority{}
+// starved tells whether nothing has been started of a job for so long that it
+// goes before all others.
+func (r *round) starved(j *work.Job) bool {
+	return !j.Began && r.wall-j.Submitted > tuning.StarvedAfter.Milliseconds()
+}
+
+// overdue starts the tasks that have waited past the bound, and the first of
+// jobs that starve, before anything else. One that fits nowhere keeps the
+// machine where most is free from taking other work, so that its turn comes: of
+// its priority or below, or any if its job starves.
+func (p *Planner) overdue(r *round) {
+	r.kept = map[*agents.Host]jobs.Priority{}
 	var skip *work.Job
-	for _, t := range p.extra {
-		if !live(t) || r.now-t.Enqueued < p.WaitBound || !due(t, r.now) || t.Job == skip {
-			continue
-		}
+	serve := func(t *work.Task, over jobs.Priority) {
 		var best *agents.Host
 		for _, h := range r.free {
-			if _, taken := kept[h]; !taken && fits(t, h) {
+			if _, taken := r.kept[h]; !taken && fits(t, h) {
 				best = h
 				break
 			}
 		}
 		if best != nil {
 			p.place(t, best)
-			continue
+			return
 		}
 		skip = t.Job // one machine kept for each job is enough
 		most := -1.0
-		for _, h := range r.free {
-			if _, taken := kept[h]; taken || !could(t, h) {
+		for _, h := range r.open {
+			if _, taken := r.kept[h]; taken || !could(t, h) {
 				continue
 			}
 			if cpus, _, _ := h.Free(); cpus > most {
@@ -290,10 +297,19 @@
 			}
 		}
 		if best != nil {
-			kept[best] = t.Job.Desc.Priority() + 1
+			r.kept[best] = over
+		}
+	}
+	for _, t := range r.waiting {
+		if live(t) && due(t, r.now) && t.Job != skip && r.starved(t.Job) {
+			serve(t, jobs.Production+1)
+		}
+	}
+	for _, t := range p.extra {
+		if live(t) && r.now-t.Enqueued >= p.WaitBound && due(t, r.now) && t.Job != skip && !r.starved(t.Job) {
+			serve(t, t.Job.Desc.Priority()+1)
 		}
 	}
-	return kept
 }
 
 // arrive places arriving tasks: on a machine with room that caches the image,
@@ -335,7 +351,7 @@
 	image := tasks[0].Job.Desc.Image
 	for _, cached := range []bool{true, false} {
 		for _, h := range r.free {
-			if h.Caches(image) != cached {
+			if h.Caches(image) != cached || r.kept[h] > tasks[0].Job.Desc.Priority() {
 				continue
 			}
 			for len(tasks) > 0 && fits(tasks[0], h) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -135,6 +135,15 @@
 	// DeadAfter is how long a machine is silent, while most others report,
 	// before it is returned. A worker that loses one answer is back in 7 s.
 	DeadAfter = 11 * time.Second
+	// DeafReports is how many answered reports in a row a machine may send
+	// without showing the token of the answers: the next one shows it, but for
+	// one already under way and one lost answer.
+	DeafReports = 3
+	// DeafLaunches is the same for launches that never show: one may be lost
+	// with a connection.
+	DeafLaunches = 2
+	// ProbeEvery is the time between two questions whether it hears again.
+	ProbeEvery = 3 * time.Second
 	// RefusedPause keeps a task from a machine that refused it.
 	RefusedPause = 2 * time.Second
 	// ErrorPause is the first pause of a job that fails on machines that
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -76,6 +76,7 @@
 	Submitted int64 // ms since the epoch, by the accepting node's clock
 	Within    bool  // see lead: fits its team's guarantee
 	Cancelled bool
+	Began     bool // a task of it has been placed
 	Tasks     map[int]*Task
 	Chunks    map[string]*Chunk
 	Errors    int           // failures in a row
@@ -115,6 +116,7 @@
 		m := r.Marks[k]
 		t := &tasks[k]
 		*t = Task{Job: j, Chunk: c, Index: i, State: m.State, Attempt: m.Attempt, Host: m.Host, Page: int(r.Pages[k]), Zone: ZoneOf(r.Zones, i)}
+		j.Began = j.Began || m.Attempt > 0 || m.State == Done
 		switch m.State {
 		case Done:
 			t.DoneDurable = true
