--- a/cmd/lemonmoor/main.go
+++ b/cmd/lemonmoor/main.go
@@ -99,7 +99,9 @@
 
 	log := logger(set.Node)
 	loop := engine.NewLoop()
-	rt := engine.NewReal(loop, peers.New())
+	sockets := httpwire.NewSockets(set.Deployment.Quota.Sockets)
+	client := httpwire.NewClient(sockets, set.External.State, set.External.Cloud)
+	rt := engine.NewReal(loop, client, peers.New())
 	// Below 2^50, exact wherever JSON numbers are read as floating point.
 	node := controller.New(rt, set, rand.Uint64()>>14, log)
 	server := httpwire.NewServer(func(req *httpwire.Request, reply httpwire.Reply) {
@@ -109,7 +111,9 @@
 			return
 		}
 		loop.Post(lane, func() { node.Handle(req, reply) })
-	}, log)
+	}, sockets, log)
+	server.IsUser = func(req *httpwire.Request) bool { return controller.LaneOf(req) == engine.Users }
+	server.IdleOthers = tuning.ForsakenReports * set.Report()
 
 	ctx, cancel := context.WithCancelCause(ctx)
 	go func() {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/tuning"
 )
 
 // Lane ranks commands: under overload, reports of workers and answers to the
@@ -76,10 +77,6 @@
 	return len(l.queue[lane])
 }
 
-// userBatch bounds how many user commands run before the other lanes are
-// looked at again.
-const userBatch = 8
-
 // Run works through the queue until ctx ends. After every batch it calls
 // settle, where the slices take the decisions the batch made necessary.
 func (l *Loop) Run(ctx context.Context, settle func()) {
@@ -110,9 +107,9 @@
 		if len(q) == 0 {
 			continue
 		}
-		if Lane(lane) == Users && len(q) > userBatch {
-			batch := q[:userBatch:userBatch]
-			l.queue[lane] = q[userBatch:]
+		if Lane(lane) == Users && len(q) > tuning.UserBatch {
+			batch := q[:tuning.UserBatch:tuning.UserBatch]
+			l.queue[lane] = q[tuning.UserBatch:]
 			return batch
 		}
 		l.queue[lane] = nil
--- a/internal/engine/real.go
+++ b/internal/engine/real.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/tuning"
 )
 
 // Real is the Runtime of a running process.
@@ -20,15 +21,15 @@
 	Send(endpoint, path string, body []byte, timeout time.Duration) ([]byte, error)
 }
 
-// NewReal returns a runtime that posts to loop.
-func NewReal(loop *Loop, peers PeerSender) *Real {
-	r := &Real{loop: loop, client: httpwire.NewClient(), peers: peers, start: time.Now()}
+// NewReal returns a runtime that posts to loop and calls through client.
+func NewReal(loop *Loop, client *httpwire.Client, peers PeerSender) *Real {
+	r := &Real{loop: loop, client: client, peers: peers, start: time.Now()}
 	r.sweep()
 	return r
 }
 
 func (r *Real) sweep() {
-	time.AfterFunc(10*time.Second, func() {
+	time.AfterFunc(tuning.SocketsTick, func() {
 		r.client.Sweep()
 		r.sweep()
 	})
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -2,10 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
+
+	"lemonmoor/internal/tuning"
 )
 
 // ErrorBody is the JSON body of a refusal.
@@ -19,8 +23,10 @@
 
 // Client keeps connections to the services that the program calls.
 type Client struct {
-	mu   sync.Mutex
-	idle map[string][]idleConn
+	sockets *Sockets
+	vital   []string // addresses that are called however few sockets are left
+	mu      sync.Mutex
+	idle    map[string][]idleConn
 }
 
 type idleConn struct {
@@ -28,15 +34,14 @@
 	at   time.Time
 }
 
-// keepIdle is how long an unused connection is kept; keepPer how many to one
-// address.
-const (
-	keepIdle = 20 * time.Second
-	keepPer  = 3
-)
+// errNoSocket says that a call was not sent because too few sockets are left.
+var errNoSocket = errors.New("no socket to spare")
 
-// NewClient returns a client without connections.
-func NewClient() *Client { return &Client{idle: map[string][]idleConn{}} }
+// NewClient returns a client without connections. Calls to the vital addresses
+// are made however few sockets are left.
+func NewClient(sockets *Sockets, vital ...string) *Client {
+	return &Client{sockets: sockets, vital: vital, idle: map[string][]idleConn{}}
+}
 
 // Do sends one request and waits for its answer. sent tells whether any of it
 // may have reached the other side.
@@ -44,32 +49,43 @@
 	deadline := time.Now().Add(timeout)
 	conn := c.take(addr)
 	if conn == nil {
+		if c.sockets.Scarce() && !slices.Contains(c.vital, addr) {
+			return nil, false, errNoSocket
+		}
+		c.sockets.opened()
 		conn, err = net.DialTimeout("tcp", addr, timeout)
 		if err != nil {
+			c.sockets.closed()
 			return nil, false, fmt.Errorf("connect to %s: %w", addr, err)
 		}
 	}
 	if err := conn.SetDeadline(deadline); err != nil {
-		conn.Close()
+		c.drop(conn)
 		return nil, false, fmt.Errorf("set deadline: %w", err)
 	}
 	if _, err := conn.Write(appendCall(nil, addr, call)); err != nil {
-		conn.Close()
+		c.drop(conn)
 		return nil, true, fmt.Errorf("send to %s: %w", addr, err)
 	}
 	ans, err = read(conn)
 	if err != nil {
-		conn.Close()
+		c.drop(conn)
 		return nil, true, fmt.Errorf("answer of %s: %w", addr, err)
 	}
 	if ans.Close {
-		conn.Close()
+		c.drop(conn)
 	} else {
 		c.put(addr, conn)
 	}
 	return ans, true, nil
 }
 
+// drop closes a connection.
+func (c *Client) drop(conn net.Conn) {
+	conn.Close()
+	c.sockets.closed()
+}
+
 // read waits for one whole answer.
 func read(conn net.Conn) (*Answer, error) {
 	buf := make([]byte, 0, 2048)
@@ -100,10 +116,10 @@
 		last := list[len(list)-1]
 		list = list[:len(list)-1]
 		c.idle[addr] = list
-		if time.Since(last.at) < keepIdle {
+		if time.Since(last.at) < tuning.KeepIdle {
 			return last.conn
 		}
-		last.conn.Close()
+		c.drop(last.conn)
 	}
 	delete(c.idle, addr)
 	return nil
@@ -112,24 +128,27 @@
 func (c *Client) put(addr string, conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[addr]) >= keepPer {
-		conn.Close()
+	if len(c.idle[addr]) >= tuning.KeepPerAddress || (c.sockets.Tight() && !slices.Contains(c.vital, addr)) {
+		c.drop(conn)
 		return
 	}
 	c.idle[addr] = append(c.idle[addr], idleConn{conn, time.Now()})
 }
 
-// Sweep closes connections that nobody has used for a while.
+// Sweep closes connections that nobody has used for a while, and all to others
+// than the vital addresses when sockets are tight.
 func (c *Client) Sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	tight := c.sockets.Tight()
 	for addr, list := range c.idle {
+		spare := tight && !slices.Contains(c.vital, addr)
 		kept := list[:0]
 		for _, i := range list {
-			if time.Since(i.at) < keepIdle {
+			if !spare && time.Since(i.at) < tuning.KeepIdle {
 				kept = append(kept, i)
 			} else {
-				i.conn.Close()
+				c.drop(i.conn)
 			}
 		}
 		if len(kept) == 0 {
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -20,7 +20,14 @@
 // Server serves HTTP/1.1 on gnet's event loop.
 type Server struct {
 	gnet.BuiltinEventEngine
+	// IsUser tells users' requests from the others'.
+	IsUser func(*Request) bool
+	// IdleOthers is when a connection that is no user's counts as forsaken: a
+	// machine that died or was cut off does not close its own.
+	IdleOthers time.Duration
+
 	handle  Handler
+	sockets *Sockets
 	log     *slog.Logger
 	started time.Time
 
@@ -33,11 +40,13 @@
 	busy    atomic.Bool  // a request waits for its answer
 	touched atomic.Int64 // ms since start, of the last byte or answer
 	partial atomic.Bool  // an incomplete request is buffered
+	user    atomic.Bool  // its last request was a user's
 }
 
 // NewServer returns a server that hands requests to handle.
-func NewServer(handle Handler, log *slog.Logger) *Server {
-	return &Server{handle: handle, log: log, started: time.Now(), conns: map[gnet.Conn]*session{}}
+func NewServer(handle Handler, sockets *Sockets, log *slog.Logger) *Server {
+	return &Server{handle: handle, sockets: sockets, log: log, started: time.Now(), conns: map[gnet.Conn]*session{},
+		IsUser: func(*Request) bool { return false }, IdleOthers: tuning.IdleConnection}
 }
 
 // Serve listens on addr until the process ends or listening fails.
@@ -55,17 +64,25 @@
 	ses := &session{}
 	ses.touched.Store(s.ms())
 	c.SetContext(ses)
+	s.sockets.opened()
 	s.mu.Lock()
 	s.conns[c] = ses
 	s.mu.Unlock()
+	if s.sockets.Spent() {
+		return nil, gnet.Close
+	}
 	return nil, gnet.None
 }
 
 // OnClose forgets a connection.
 func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
 	s.mu.Lock()
+	_, there := s.conns[c]
 	delete(s.conns, c)
 	s.mu.Unlock()
+	if there {
+		s.sockets.closed()
+	}
 	return gnet.None
 }
 
@@ -102,20 +119,27 @@
 	}
 	ses.partial.Store(false)
 	_, _ = c.Discard(n)
+	user := s.IsUser(req)
+	ses.user.Store(user)
+	if user && s.sockets.Scarce() {
+		_, _ = c.Write(AppendAnswer(nil, 503, ErrorBody("no sockets left"), tuning.RetryAfter, true))
+		return gnet.Close
+	}
 	ses.busy.Store(true)
 	var once atomic.Bool
 	s.handle(req, func(status int, body []byte, retryAfter int) {
 		if !once.CompareAndSwap(false, true) {
 			return
 		}
-		out := AppendAnswer(nil, status, body, retryAfter, req.Close)
+		closing := req.Close || (user && s.sockets.Tight())
+		out := AppendAnswer(nil, status, body, retryAfter, closing)
 		_ = c.AsyncWrite(out, func(c gnet.Conn, err error) error {
 			if err != nil || c == nil {
 				return nil
 			}
 			ses.touched.Store(s.ms())
 			ses.busy.Store(false)
-			if req.Close {
+			if closing {
 				return c.Close()
 			}
 			if c.InboundBuffered() > 0 {
@@ -127,9 +151,14 @@
 	return gnet.None
 }
 
-// OnTick closes slow and idle connections.
+// OnTick closes slow and idle connections, users' at once when sockets are
+// tight.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
 	now := s.ms()
+	users := tuning.IdleConnection
+	if s.sockets.Tight() {
+		users = tuning.SocketsTick
+	}
 	var old []gnet.Conn
 	s.mu.Lock()
 	for c, ses := range s.conns {
@@ -137,7 +166,11 @@
 		if ses.busy.Load() {
 			continue
 		}
-		if age > tuning.IdleConnection || (ses.partial.Load() && age > tuning.SlowRequest) {
+		limit := s.IdleOthers
+		if ses.user.Load() {
+			limit = users
+		}
+		if age > limit || (ses.partial.Load() && age > tuning.SlowRequest) {
 			old = append(old, c)
 		}
 	}
@@ -145,7 +178,7 @@
 	for _, c := range old {
 		_ = c.Close()
 	}
-	return 5 * time.Second, gnet.None
+	return tuning.SocketsTick, gnet.None
 }
 
 // quiet carries gnet's own messages to the log at debug level.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -113,9 +113,10 @@
 	// pages are emptied. A takeover reads them in one listing.
 	LogPages = 96
 	// BlockCPUs is how many guaranteed processors call for one more block.
-	// Several blocks cost room that is scarce at a hundred machines, and share
-	// the reports of thousands among the controllers.
-	BlockCPUs = 8000
+	// Several blocks cost room that is scarce at a hundred machines; at several
+	// hundred they share the reports and the sockets among the controllers, and
+	// a lost owner stops a part of the machines only.
+	BlockCPUs = 3000
 )
 
 // Users.
@@ -286,8 +287,34 @@
 	PeerMessage = 1 << 20
 )
 
+// Sockets.
+const (
+	// SocketsTight is the part of the platform's limit below which connections
+	// that are not in use are closed. A machine may have one of its own and one
+	// of ours; half of the machines may move here within a report interval.
+	SocketsTight = 0.15
+	// SocketsScarce is the same for direct orders and users: the rest is for
+	// the workers' reports.
+	SocketsScarce = 0.06
+	// SocketsVital is the number of sockets kept for the state service, the
+	// cloud and the peers.
+	SocketsVital = 32
+	// SocketsTick is the time between two looks for connections to close.
+	SocketsTick = 1 * time.Second
+	// KeepIdle is how long an unused connection to a worker or service is kept.
+	KeepIdle = 20 * time.Second
+	// KeepPerAddress is how many of them to one address.
+	KeepPerAddress = 3
+	// ForsakenReports is how many report intervals of silence make a worker's
+	// connection a forsaken one.
+	ForsakenReports = 3
+)
+
 // Process.
 const (
+	// UserBatch is how many user commands run before the other lanes are
+	// looked at again.
+	UserBatch = 8
 	// MemoryShare is the part of the memory quota that the Go runtime may
 	// use before it collects harder; the rest is code, stacks and the kernel.
 	MemoryShare = 0.6
