--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -55,7 +55,8 @@
 	deaf    time.Duration
 	probed  time.Duration
 
-	Failed  int // tasks that failed here since one ran well
+	missed  time.Duration // when an order last went unanswered
+	Failed  int           // tasks that failed here since one ran well
 	FailedJ map[string]bool
 	flying  bool // a direct order is under way
 	images  []cached
@@ -142,12 +143,57 @@
 	greets   []*Host         // to be told of the token
 	greeting int             // being told
 	gone     map[string]bool // returned machines
+	zones    map[string]*zone
+}
+
+// zone is what the table knows of a zone as a whole: one that is cut off falls
+// silent at once, long before each of its machines is late.
+type zone struct {
+	heard time.Duration // the newest report from it
+	up    int           // machines there that have reported, as of the last Tick
 }
 
 // NewTable returns an empty table.
 func NewTable(rt engine.Runtime, office Office, book Shelf, set *settings.Settings, log *slog.Logger) *Table {
 	return &Table{rt: rt, office: office, book: book, set: set, log: log,
-		hosts: map[string]*Host{}, ready: map[*Host]bool{}, gone: map[string]bool{}}
+		hosts: map[string]*Host{}, ready: map[*Host]bool{}, gone: map[string]bool{}, zones: map[string]*zone{}}
+}
+
+// zone finds or makes a zone's entry.
+func (t *Table) zone(name string) *zone {
+	z := t.zones[name]
+	if z == nil {
+		z = &zone{}
+		t.zones[name] = z
+	}
+	return z
+}
+
+// Lit lists the zones from which something has been heard of late.
+func (t *Table) Lit() []string {
+	var list []string
+	for name, z := range t.zones {
+		if z.heard > 0 && t.rt.Now()-z.heard <= tuning.DarkAfter {
+			list = append(list, name)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// dark tells whether a zone seems to be cut off: many machines report from it,
+// and none has for a while, though others are heard.
+func (t *Table) dark(name string) bool {
+	z := t.zones[name]
+	if z == nil || !t.set.Dark(z.up, t.rt.Now()-max(z.heard, t.begun)) {
+		return false
+	}
+	for _, o := range t.zones {
+		if o.heard > z.heard+tuning.DarkAfter/2 {
+			return true
+		}
+	}
+	return false
 }
 
 // Begin starts a term: whatever the records place may be on its machine under
@@ -277,12 +323,15 @@
 // own.
 func (t *Table) All() []*Host { return t.list }
 
-// Open tells whether a machine may be given tasks now.
+// Open tells whether a machine may be given tasks now. One that has left an
+// order unanswered gets none before its next report: what is placed on a machine
+// that is cut off or dead waits there until its lease has run out.
 func (t *Table) Open(h *Host) bool {
 	now := t.rt.Now()
 	suspect := time.Duration(float64(t.set.Report()) * tuning.SuspectReports)
 	return h.Up && !h.Silent && !h.Deaf && h.Draining == "" && h.Type != nil && h.Stray == 0 &&
-		h.Token >= t.office.Token() && now-h.Heard < suspect && now >= h.Refused
+		h.Token >= t.office.Token() && now-h.Heard < suspect && now >= h.Refused &&
+		h.missed <= h.Heard && !t.dark(h.Zone)
 }
 
 func (t *Table) occupy(h *Host, k *work.Task) {
@@ -355,7 +404,13 @@
 		return
 	}
 	now := t.rt.Now()
+	for _, z := range t.zones {
+		z.up = 0
+	}
 	for _, h := range t.list {
+		if h.Up {
+			t.zone(h.Zone).up++
+		}
 		if h.Deaf {
 			t.probe(h)
 			if len(h.Tasks) == 0 && h.Draining == "" && now-h.deaf > t.set.WorkerLease() {
@@ -433,6 +488,9 @@
 	}
 }
 
+// Silent is why a machine is given back that no longer reports.
+const Silent = "silent"
+
 // GiveBack tells whether, and why, the owner wants a machine returned now:
 // nothing on it is lost by that, or it is lost already.
 func (t *Table) GiveBack(h *Host, silent, up int) string {
@@ -443,7 +501,7 @@
 	case h.Notice > 0 && (now > h.Notice-tuning.NoticeReserve || (len(h.Tasks) == 0 && h.Stray == 0)):
 		return "taken by the cloud"
 	case t.Quiet(h) && silent*2 <= up:
-		return "silent"
+		return Silent
 	case h.Draining != "" && h.Notice == 0 && len(h.Tasks) == 0 && (h.Stray == 0 || h.Draining == deafDrain):
 		return h.Draining
 	}
@@ -472,6 +530,7 @@
 		return 503, Unreachable
 	}
 	h.Heard = now
+	t.zone(r.Zone).heard = now
 	if !h.Up || h.Build != r.Build || h.Addr != r.Addr {
 		h.Up, h.Addr, h.Build, h.Zone, h.Spot = true, r.Addr, r.Build, r.Zone, r.Spot
 		h.Type = t.Type(r.Build)
@@ -831,5 +890,8 @@
 				// Not again at once: the next report carries the launches.
 				delete(t.ready, h)
 			}
+			if err == engine.ErrNoAnswer {
+				h.missed = t.rt.Now()
+			}
 		})
 }
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -106,7 +106,7 @@
 	now := o.node.rt.Now()
 	hosts := o.table.All()
 	o.seq++
-	d := &fleet.Digest{Node: o.node.set.Node, Block: o.block, Token: o.token, Seq: o.seq, Full: o.untold}
+	d := &fleet.Digest{Node: o.node.set.Node, Block: o.block, Token: o.token, Seq: o.seq, Full: o.untold, Lit: o.table.Lit()}
 	if o.untold {
 		clear(o.told)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"lemonmoor/internal/agents"
 	"lemonmoor/internal/engine"
 	"lemonmoor/internal/httpwire"
 	"lemonmoor/internal/jobs"
@@ -106,6 +107,7 @@
 	Token uint64      `json:"token"`
 	Seq   uint64      `json:"seq"`
 	Full  bool        `json:"full,omitempty"`
+	Lit   []string    `json:"lit,omitempty"` // zones that it has heard from just now
 	Hosts []HostState `json:"hosts"`
 }
 
@@ -182,8 +184,10 @@
 	returned map[string]time.Duration // when
 	pauses   map[Kind]time.Duration
 	needs    []Need
-	words    []word     // by block
-	news     [][]string // by block: returned since the owner's last word
+	words    []word                   // by block
+	news     [][]string               // by block: returned since the owner's last word
+	lit      map[string]time.Duration // by zone: when an owner last heard from it
+	running  map[string]int           // by zone: machines that should report
 	counter  uint64
 	term     int
 	begun    time.Duration
@@ -197,7 +201,8 @@
 func New(rt engine.Runtime, addr string, office Office, set *settings.Settings, log *slog.Logger) *Fleet {
 	return &Fleet{rt: rt, addr: addr, office: office, set: set, log: log,
 		machines: map[string]*machine{}, returned: map[string]time.Duration{}, pauses: map[Kind]time.Duration{},
-		flying: map[string]hire{}, words: make([]word, set.Blocks()), news: make([][]string, set.Blocks())}
+		flying: map[string]hire{}, words: make([]word, set.Blocks()), news: make([][]string, set.Blocks()),
+		lit: map[string]time.Duration{}, running: map[string]int{}}
 }
 
 // Start reads the machine types and keeps their prices current.
@@ -293,6 +298,8 @@
 	clear(f.flying)
 	clear(f.words)
 	clear(f.pauses)
+	clear(f.lit)
+	clear(f.running)
 	f.needs = nil
 	term := f.term
 	f.list(term)
@@ -431,6 +438,28 @@
 		now-max(w.since, m.running) > f.set.DeadAfter()
 }
 
+// silence is how long no owner has heard from a zone.
+func (f *Fleet) silence(zone string) time.Duration { return f.rt.Now() - max(f.lit[zone], f.begun) }
+
+// dark tells whether a zone is cut off from the owners, though others are not.
+// Its machines are no room and none are rented there; see tuning.DarkKeep.
+func (f *Fleet) dark(zone string) bool {
+	if !f.set.Dark(f.running[zone], f.silence(zone)) {
+		return false
+	}
+	for other := range f.lit {
+		if f.silence(other) <= tuning.DarkAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// spared tells whether a silent machine is kept because its zone is cut off.
+func (f *Fleet) spared(m *machine) bool {
+	return f.dark(m.kind.Zone) && f.silence(m.kind.Zone) < tuning.DarkKeep
+}
+
 // Hear takes an owner's digest. Machines in it that were not rented in this
 // term are adopted.
 func (f *Fleet) Hear(d *Digest) Reply {
@@ -446,6 +475,9 @@
 		}
 		*w = word{d.Token, d.Seq, now, since, true}
 	}
+	for _, zone := range d.Lit {
+		f.lit[zone] = now
+	}
 	// A word whose answer is lost is followed by a full one, which asks for
 	// these anew.
 	r.Returned, f.news[d.Block] = f.news[d.Block], nil
@@ -476,7 +508,7 @@
 		// they report to it: that makes none of them one that never booted.
 		m.state, m.known = s, m.known || s.Up
 		m.idle = now - time.Duration(s.IdleMS)*time.Millisecond
-		if s.Back != "" {
+		if s.Back != "" && s.Back != agents.Silent { // judge sees to those
 			f.giveBack(m, s.Back)
 		}
 	}
@@ -506,7 +538,7 @@
 		if t == nil || m.release || m.failed || m.drain != "" {
 			continue
 		}
-		if m.known && (!f.fresh(m) || !m.state.Open) || f.unheard(m) {
+		if m.known && (!f.fresh(m) || !m.state.Open) || f.unheard(m) || f.dark(m.kind.Zone) {
 			continue
 		}
 		r = Room{Kind: m.kind, Host: m.id, Block: m.block, Type: t, Booting: !m.known}
@@ -555,7 +587,11 @@
 func (f *Fleet) judge() {
 	now := f.rt.Now()
 	machines, idle := 0, 0
+	clear(f.running)
 	for _, m := range f.machines {
+		if !m.release && !m.failed && (m.known || m.running > 0) {
+			f.running[m.kind.Zone]++
+		}
 		if m.known && !m.release {
 			machines++
 			if m.idles(f) {
@@ -575,13 +611,16 @@
 			}
 			limit := time.Duration(boot*tuning.BootFactor*float64(time.Second)) + tuning.BootSlack
 			switch {
-			case f.unheard(m):
+			case f.unheard(m) && !f.spared(m):
 				f.giveBack(m, "does not report")
 			case m.booting && now-m.rented > limit && now-f.begun > tuning.BootSlack:
 				f.giveBack(m, "never booted")
 			}
 			continue
 		}
+		if m.state.Back == agents.Silent && !f.spared(m) {
+			f.giveBack(m, agents.Silent)
+		}
 		keep := f.set.IdleKeep()
 		if t := f.Type(m.kind.Build); t != nil && !m.kind.Spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
 			// Kept ready as long as a spot machine would be for the money.
@@ -723,7 +762,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				k := Kind{t.Label, zone, spot}
-				if now < f.pauses[k] || wanted[k] >= tuning.HireAhead || !f.empty(k).Could(n.Desc, n.Zone) {
+				if now < f.pauses[k] || f.dark(zone) || wanted[k] >= tuning.HireAhead || !f.empty(k).Could(n.Desc, n.Zone) {
 					continue
 				}
 				price, wait := t.Price, f.wait(n.Hard, t, n.Desc)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -168,6 +168,16 @@
 	DeafLaunches = 2
 	// ProbeEvery is the time between two questions whether it hears again.
 	ProbeEvery = 3 * time.Second
+	// DarkAfter is how long nothing is heard of a zone that is cut off, and
+	// DarkReports how many reports would have come from it in that time: with
+	// fewer machines silence may be chance. It is below DeadSlack, so that a zone
+	// counts as cut off before its first machine counts as dead.
+	DarkAfter   = 5 * time.Second
+	DarkReports = 12
+	// DarkKeep is how long a zone's machines are kept while it is cut off. They
+	// are back at once when it is; machines rented in their place boot as long
+	// as most cuts last, and in the same zone never report.
+	DarkKeep = 90 * time.Second
 	// RefusedPause keeps a task from a machine that refused it.
 	RefusedPause = 2 * time.Second
 	// ErrorPause is the first pause of a job that fails on machines that
