--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -39,6 +39,9 @@
 	Idle      time.Duration // since when it has had no tasks
 
 	Tasks map[*work.Task]bool // placed here
+	// Fetching counts those of them that do not run yet: they wait for their
+	// image, as far as one can tell.
+	Fetching int
 	// Stray holds tasks that the worker lists and the records do not.
 	Stray  int
 	CPUs   float64 // taken by Tasks
@@ -203,7 +206,7 @@
 	t.begun = t.rt.Now()
 	for _, h := range t.hosts {
 		h.Tasks = map[*work.Task]bool{}
-		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray = 0, 0, 0, false, 0
+		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray, h.Fetching = 0, 0, 0, false, 0, 0
 		h.LeaseFrom = t.begun + t.set.Hold()
 		h.Silent = false
 		h.hears()
@@ -297,7 +300,7 @@
 func (t *Table) End() {
 	for _, h := range t.hosts {
 		h.Tasks = map[*work.Task]bool{}
-		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray = 0, 0, 0, false, 0
+		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray, h.Fetching = 0, 0, 0, false, 0, 0
 	}
 	clear(t.ready)
 }
@@ -336,6 +339,9 @@
 
 func (t *Table) occupy(h *Host, k *work.Task) {
 	h.Tasks[k] = true
+	if !k.Running {
+		h.Fetching++
+	}
 	h.CPUs += k.Job.Desc.CPUs
 	h.Cards += k.Job.Desc.Cards
 	h.Memory += k.Job.Desc.MemoryGB
@@ -354,9 +360,10 @@
 		h.CPUs, h.Cards, h.Memory = 0, 0, 0
 		h.Idle = t.rt.Now()
 	}
-	if k.Running {
-		k.Running = false
+	if !k.Running {
+		h.Fetching--
 	}
+	k.Running = false
 }
 
 // Place gives a waiting task to a machine. The launch leaves once the
@@ -746,6 +753,7 @@
 	case "running":
 		if !k.Running {
 			k.Running, k.Since = true, t.rt.Now()
+			h.Fetching--
 		}
 		return orders
 	case "ended":
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -497,6 +497,8 @@
 				}
 			}
 			for _, p := range ended {
+				l.log.Debug("job over", "job", p.e.ID, "class", p.desc.Class, "tasks", p.desc.Tasks, "cancelled", p.cancelled,
+					"age_s", float64(l.rt.Wall().UnixMilli()-p.e.At)/1000)
 				if l.plans[p.e.ID] == p && p.cancelled {
 					l.recheck(p)
 				}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -401,12 +401,24 @@
 	}
 }
 
+// nearness ranks machines for a job: those that cache its image, those that
+// fetch nothing, and those where its image would share the rate with another.
+func nearness(h *agents.Host, image string) int {
+	switch {
+	case h.Caches(image):
+		return 0
+	case h.Fetching == 0:
+		return 1
+	}
+	return 2
+}
+
 // spread starts as many of a job's tasks as there is room for.
 func (p *Planner) spread(tasks []*work.Task, r *round) []*work.Task {
 	image := tasks[0].Job.Desc.Image
-	for _, cached := range []bool{true, false} {
+	for near := range 3 {
 		for _, h := range r.free {
-			if h.Caches(image) != cached || r.kept[h] > tasks[0].Job.Desc.Priority() {
+			if nearness(h, image) != near || r.kept[h] > tasks[0].Job.Desc.Priority() {
 				continue
 			}
 			for len(tasks) > 0 && fits(tasks[0], h) {
