--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -495,8 +495,13 @@
 	}
 }
 
-// Silent is why a machine is given back that no longer reports.
-const Silent = "silent"
+// Silent is why a machine is given back that no longer reports; SilentUrgent is
+// why one that may have urgent tasks on it: returned, they are surely gone, and
+// can run elsewhere before its lease would have run out.
+const (
+	Silent       = "silent"
+	SilentUrgent = "silent with urgent tasks"
+)
 
 // GiveBack tells whether, and why, the owner wants a machine returned now:
 // nothing on it is lost by that, or it is lost already.
@@ -508,6 +513,11 @@
 	case h.Notice > 0 && (now > h.Notice-tuning.NoticeReserve || (len(h.Tasks) == 0 && h.Stray == 0)):
 		return "taken by the cloud"
 	case t.Quiet(h) && silent*2 <= up:
+		for k := range h.Tasks {
+			if k.Job.Desc.Priority() >= jobs.High {
+				return SilentUrgent
+			}
+		}
 		return Silent
 	case h.Draining != "" && h.Notice == 0 && len(h.Tasks) == 0 && (h.Stray == 0 || h.Draining == deafDrain):
 		return h.Draining
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -456,8 +456,23 @@
 }
 
 // spared tells whether a silent machine is kept because its zone is cut off.
+// Those that may have urgent tasks on them are not, if the zone is a small part
+// of all: then others can be had in their place.
 func (f *Fleet) spared(m *machine) bool {
-	return f.dark(m.kind.Zone) && f.silence(m.kind.Zone) < tuning.DarkKeep
+	zone := m.kind.Zone
+	if !f.dark(zone) || f.silence(zone) > tuning.DarkKeep {
+		return false
+	}
+	all := 0
+	for _, n := range f.running {
+		all += n
+	}
+	return m.state.Back != agents.SilentUrgent || float64(f.running[zone]) > tuning.DarkSmall*float64(all)
+}
+
+// silent tells whether a machine's owner wants it back because it is silent.
+func (m *machine) silent() bool {
+	return m.state.Back == agents.Silent || m.state.Back == agents.SilentUrgent
 }
 
 // Hear takes an owner's digest. Machines in it that were not rented in this
@@ -508,7 +523,7 @@
 		// they report to it: that makes none of them one that never booted.
 		m.state, m.known = s, m.known || s.Up
 		m.idle = now - time.Duration(s.IdleMS)*time.Millisecond
-		if s.Back != "" && s.Back != agents.Silent { // judge sees to those
+		if s.Back != "" && !m.silent() { // judge sees to those
 			f.giveBack(m, s.Back)
 		}
 	}
@@ -618,8 +633,8 @@
 			}
 			continue
 		}
-		if m.state.Back == agents.Silent && !f.spared(m) {
-			f.giveBack(m, agents.Silent)
+		if m.silent() && !f.spared(m) {
+			f.giveBack(m, m.state.Back)
 		}
 		keep := f.set.IdleKeep()
 		if t := f.Type(m.kind.Build); t != nil && !m.kind.Spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -178,6 +178,9 @@
 	// are back at once when it is; machines rented in their place boot as long
 	// as most cuts last, and in the same zone never report.
 	DarkKeep = 90 * time.Second
+	// DarkSmall is the part of all machines up to which those of a zone that is
+	// cut off are returned all the same when they may have urgent tasks.
+	DarkSmall = 0.35
 	// RefusedPause keeps a task from a machine that refused it.
 	RefusedPause = 2 * time.Second
 	// ErrorPause is the first pause of a job that fails on machines that
