--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -188,6 +188,7 @@
 	news     [][]string               // by block: returned since the owner's last word
 	lit      map[string]time.Duration // by zone: when an owner last heard from it
 	running  map[string]int           // by zone: machines that should report
+	darkAt   map[string]time.Duration // by zone: when it was last cut off
 	counter  uint64
 	term     int
 	begun    time.Duration
@@ -202,7 +203,7 @@
 	return &Fleet{rt: rt, addr: addr, office: office, set: set, log: log,
 		machines: map[string]*machine{}, returned: map[string]time.Duration{}, pauses: map[Kind]time.Duration{},
 		flying: map[string]hire{}, words: make([]word, set.Blocks()), news: make([][]string, set.Blocks()),
-		lit: map[string]time.Duration{}, running: map[string]int{}}
+		lit: map[string]time.Duration{}, running: map[string]int{}, darkAt: map[string]time.Duration{}}
 }
 
 // Start reads the machine types and keeps their prices current.
@@ -300,6 +301,7 @@
 	clear(f.pauses)
 	clear(f.lit)
 	clear(f.running)
+	clear(f.darkAt)
 	f.needs = nil
 	term := f.term
 	f.list(term)
@@ -460,7 +462,13 @@
 // of all: then others can be had in their place.
 func (f *Fleet) spared(m *machine) bool {
 	zone := m.kind.Zone
-	if !f.dark(zone) || f.silence(zone) > tuning.DarkKeep {
+	if !f.dark(zone) {
+		// Back again, its machines have time to report: judged at the first
+		// sign of life, most were returned just then.
+		at, was := f.darkAt[zone]
+		return was && f.rt.Now()-at < f.set.DeadAfter()
+	}
+	if f.silence(zone) > tuning.DarkKeep {
 		return false
 	}
 	all := 0
@@ -614,6 +622,14 @@
 			}
 		}
 	}
+	for zone := range f.running {
+		if f.dark(zone) {
+			if _, was := f.darkAt[zone]; !was || now-f.darkAt[zone] > f.set.DeadAfter() {
+				f.log.Info("zone is cut off", "zone", zone, "machines", f.running[zone])
+			}
+			f.darkAt[zone] = now
+		}
+	}
 	spare := max(tuning.SpareLeast, int(tuning.Spare*float64(machines)))
 	for _, m := range f.machines {
 		if m.release {
