--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -62,6 +62,7 @@
 	Failed  int           // tasks that failed here since one ran well
 	FailedJ map[string]bool
 	flying  bool // a direct order is under way
+	inLine  bool // to be told of the token
 	images  []cached
 }
 
@@ -208,13 +209,19 @@
 		h.Tasks = map[*work.Task]bool{}
 		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray, h.Fetching = 0, 0, 0, false, 0, 0
 		h.LeaseFrom = t.begun + t.set.Hold()
-		h.Silent = false
+		h.Silent, h.inLine = false, false
 		h.hears()
 	}
 	clear(t.ready)
 	t.greets, t.greeting = nil, 0
-	for _, h := range t.list {
-		t.Greet(h.ID, h.Addr)
+	// Those heard of late come first: hundreds that are cut off or dead, each of
+	// which is waited for, must not keep the others waiting.
+	for _, late := range []bool{false, true} {
+		for _, h := range t.list {
+			if (t.begun-h.Heard > t.set.DeadAfter()) == late {
+				t.Greet(h.ID, h.Addr)
+			}
+		}
 	}
 	token := t.office.Token()
 	t.book.Jobs(func(j *work.Job) {
@@ -240,7 +247,8 @@
 	if h.Addr == "" {
 		h.Addr = addr
 	}
-	if h.Token < t.office.Token() && !h.Deaf && !slices.Contains(t.greets, h) {
+	if h.Token < t.office.Token() && !h.Deaf && !h.inLine {
+		h.inLine = true
 		t.greets = append(t.greets, h)
 	}
 }
@@ -249,9 +257,9 @@
 func (t *Table) greet() {
 	for t.greeting < tuning.GreetAhead && len(t.greets) > 0 {
 		h := t.greets[0]
-		t.greets = t.greets[1:]
+		t.greets, h.inLine = t.greets[1:], false
 		token := t.office.Token()
-		if h.Token >= token || t.hosts[h.ID] != h {
+		if h.Token >= token || t.hosts[h.ID] != h || t.dark(h.Zone) {
 			continue
 		}
 		// Of a machine that this process has not heard of, the session is a
@@ -262,7 +270,7 @@
 		}
 		t.greeting++
 		begun := t.begun
-		t.rt.Call(h.Addr, httpwire.Call{Method: "POST", Target: "/orders", Body: body}, tuning.OrderTimeout,
+		t.rt.Call(h.Addr, httpwire.Call{Method: "POST", Target: "/orders", Body: body}, tuning.GreetTimeout,
 			func(ans httpwire.Answer, err error) {
 				if t.begun != begun || t.office.Token() != token {
 					return // a new term greets anew
--- a/internal/agents/table_test.go
+++ b/internal/agents/table_test.go
@@ -366,3 +366,104 @@
 		})
 	}
 }
+
+// TestGreetsLiveMachinesFirst guards against a takeover that waits: of hundreds
+// of machines, those heard of late are told of the new token before any that
+// have been silent, each of which is waited for in vain.
+func TestGreetsLiveMachinesFirst(t *testing.T) {
+	b := newBench(1)
+	const all = 900
+	for i := range all {
+		if i%3 == 0 {
+			b.table.Report(&Report{Host: fmt.Sprintf("vm-%d", i), Addr: fmt.Sprint("w:", i), Build: "g8", Zone: "a", Shift: 1, Tick: 1, Token: 1})
+		}
+	}
+	b.now += time.Minute
+	for i := range all {
+		if i%3 != 0 {
+			b.table.Report(&Report{Host: fmt.Sprintf("vm-%d", i), Addr: fmt.Sprint("w:", i), Build: "g8", Zone: "b", Shift: 1, Tick: 1, Token: 1})
+		}
+	}
+	b.term()
+	for told := 0; told < all; {
+		b.table.Settle()
+		if len(b.calls) == 0 || len(b.calls) > tuning.GreetAhead {
+			t.Fatalf("%d machines are told at a time after %d", len(b.calls), told)
+		}
+		told += len(b.calls)
+		for i, h := range b.table.greets {
+			if h.Zone == "b" && told >= all*2/3 {
+				t.Fatalf("%s, heard of late, is number %d in line after %d", h.ID, i, told)
+			}
+		}
+		calls := b.calls
+		b.calls = nil
+		for _, c := range calls {
+			c.fn(httpwire.Answer{}, engine.ErrNoAnswer)
+		}
+	}
+}
+
+// TestDarkZoneGetsNoTasks: a zone from which nothing is heard while others
+// report is taken for cut off before its machines are late one by one. What was
+// placed there meanwhile waited for the end of their leases.
+func TestDarkZoneGetsNoTasks(t *testing.T) {
+	b := newBench(1)
+	report := func(zone string, tick int) {
+		for i := range 40 {
+			b.table.Report(&Report{Host: fmt.Sprintf("vm-%s%d", zone, i), Addr: "w:1", Build: "g8", Zone: zone, Shift: 1, Tick: uint64(tick), Token: 1})
+		}
+		b.table.Tick()
+	}
+	open := func(zone string) bool { return b.table.Open(b.table.Get("vm-" + zone + "7")) }
+	report("a", 1)
+	report("b", 1)
+	if !open("a") || !open("b") {
+		t.Fatal("machines that have just reported are not open")
+	}
+	b.now += 6 * time.Second
+	if !open("a") {
+		t.Error("with no zone heard it is not the zone that is cut off")
+	}
+	report("b", 2)
+	if open("a") || !open("b") {
+		t.Errorf("cut off zone open: %v, the other: %v", open("a"), open("b"))
+	}
+	if lit := b.table.Lit(); len(lit) != 1 || lit[0] != "b" {
+		t.Errorf("heard from %v", lit)
+	}
+	report("a", 2)
+	if !open("a") {
+		t.Error("the zone is back and gets no tasks")
+	}
+}
+
+// TestUnansweredOrderClosesMachine: a machine that has left an order unanswered
+// gets no more tasks before it reports.
+func TestUnansweredOrderClosesMachine(t *testing.T) {
+	b := newBench(2)
+	b.table.Report(b.report())
+	b.worker.token = 1
+	b.table.Report(b.report())
+	h := b.table.Get("vm-1")
+	k := b.job.Tasks[0]
+	b.table.Place(k, h)
+	k.Durable = true
+	b.table.Launchable(k)
+	b.table.Settle()
+	if len(b.calls) != 1 || !b.table.Open(h) {
+		t.Fatalf("%d orders, open %v", len(b.calls), b.table.Open(h))
+	}
+	b.now += 2 * time.Second
+	b.calls[0].fn(httpwire.Answer{}, engine.ErrNoAnswer)
+	if b.table.Open(h) {
+		t.Error("it is given more")
+	}
+	b.now += time.Second
+	b.table.Report(b.report()) // which makes the table take a new token
+	b.worker.token = b.token
+	b.table.Report(b.report())
+	if !b.table.Open(h) {
+		t.Error("it has reported and gets nothing")
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -446,7 +446,11 @@
 // dark tells whether a zone is cut off from the owners, though others are not.
 // Its machines are no room and none are rented there; see tuning.DarkKeep.
 func (f *Fleet) dark(zone string) bool {
-	if !f.set.Dark(f.running[zone], f.silence(zone)) {
+	at, was := f.darkAt[zone] // stays so while any machine there is left
+	if was = was && f.rt.Now()-at < tuning.DarkAfter; !was && !f.set.Dark(f.running[zone], f.silence(zone)) {
+		return false
+	}
+	if f.silence(zone) <= tuning.DarkAfter {
 		return false
 	}
 	for other := range f.lit {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
 
+	"lemonmoor/internal/agents"
 	"lemonmoor/internal/engine"
 	"lemonmoor/internal/httpwire"
 	"lemonmoor/internal/jobs"
 	"lemonmoor/internal/settings"
+	"lemonmoor/internal/tuning"
 )
 
 // still is a runtime on which nothing happens by itself.
@@ -131,3 +134,99 @@
 		}
 	}
 }
+
+// TestZoneCutOff guards against faults of two days on which a zone was cut off:
+// its machines were returned, hundreds were rented anew in that same zone, where
+// they could not report, and when it was back those left were returned at the
+// first sign of life.
+func TestZoneCutOff(t *testing.T) {
+	rt := &still{now: time.Hour}
+	set := &settings.Settings{}
+	set.Deployment.Workers.ReportS, set.Deployment.Cloud.RPS = 10, 100
+	f := New(rt, "", leading{}, set, slog.New(slog.DiscardHandler))
+	f.types = []jobs.MachineType{{Label: "g8", CPUs: 8, MemoryGB: 32, SpotPrice: 1, Price: 3, BootS: 20, Zones: []string{"a", "b"}}}
+	d := &Digest{Full: true, Lit: []string{"a", "b"}}
+	for i := range 90 {
+		zone := "a"
+		if i%3 > 0 {
+			zone = "b"
+		}
+		d.Hosts = append(d.Hosts, HostState{ID: fmt.Sprint("vm-", i), Build: "g8", Zone: zone, Up: true, Open: true, Busy: true})
+	}
+	f.listed = true
+	second := func(lit ...string) {
+		rt.now += time.Second
+		d.Seq++
+		d.Lit = lit
+		f.Hear(d)
+		f.judge()
+	}
+	count := func() (rooms, returned int) {
+		f.Rooms(func(*Room) { rooms++ })
+		for _, m := range f.machines {
+			if m.release {
+				returned++
+			}
+		}
+		return rooms, returned
+	}
+	for range 30 {
+		second("a", "b")
+	}
+	for s := range 60 { // zone b: most of the machines
+		for i := range d.Hosts {
+			if h := &d.Hosts[i]; h.Zone == "b" && s > 7+i%12 {
+				h.Open, h.Back = false, agents.Silent
+				if i%2 == 0 {
+					h.Back = agents.SilentUrgent
+				}
+			}
+		}
+		second("a")
+	}
+	if rooms, returned := count(); rooms != 30 || returned != 0 {
+		t.Errorf("%d rooms, %d machines returned", rooms, returned)
+	}
+	f.Want([]Need{{Desc: &jobs.Description{CPUs: 4, MemoryGB: 4, Spot: true, EstimateS: 40}, Number: 500, Soft: 1, Hard: 60}})
+	first := len(rt.calls)
+	f.rent(0)
+	for _, c := range rt.calls[first:] {
+		var h hire
+		if err := json.Unmarshal(c.Body, &h); err != nil || h.Zone != "a" {
+			t.Errorf("asked for %s", c.Body)
+		}
+	}
+	if len(rt.calls) == first {
+		t.Error("nothing is rented in the other zone")
+	}
+	for s := range 12 { // back, and they report one after the other
+		for i := range d.Hosts {
+			if i%12 == s {
+				d.Hosts[i].Open, d.Hosts[i].Back = true, ""
+			}
+		}
+		second("a", "b")
+	}
+	if rooms, returned := count(); rooms < 90 || returned != 0 {
+		t.Errorf("after the cut %d rooms, %d machines returned", rooms, returned)
+	}
+	// A small zone's machines with urgent tasks go back at once, the others
+	// when the zone has been cut off for very long.
+	for s := range int(tuning.DarkKeep/time.Second) + 20 {
+		for i := range d.Hosts {
+			if h := &d.Hosts[i]; h.Zone == "a" && s > 7+i%12 {
+				h.Open, h.Back = false, agents.Silent
+				if i%2 == 0 {
+					h.Back = agents.SilentUrgent
+				}
+			}
+		}
+		second("b")
+		if _, returned := count(); s == 40 && returned != 15 {
+			t.Errorf("%d machines of the small zone returned, 15 may have urgent tasks", returned)
+		}
+	}
+	if _, returned := count(); returned != 30 {
+		t.Errorf("%d machines of a zone that does not come back returned", returned)
+	}
+}
--- /dev/null
+++ b/internal/httpwire/sockets_test.go
@@ -0,0 +1,75 @@
+package httpwire
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"lemonmoor/internal/tuning"
+)
+
+// TestSocketsRunOut guards against a process that meets the platform's limit:
+// near it connections that are not in use are closed, then direct orders are not
+// sent, and calls to the state service are still made.
+func TestSocketsRunOut(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Skip("no loopback here:", err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				buf := make([]byte, 1024)
+				for {
+					if _, err := conn.Read(buf); err != nil {
+						return
+					}
+					if _, err := conn.Write(AppendAnswer(nil, 200, []byte("{}"), 0, false)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	addr := listener.Addr().String()
+	const limit = 1000
+	sockets := NewSockets(limit)
+	worker, state := NewClient(sockets), NewClient(sockets, addr)
+	ask := func(c *Client) error {
+		_, _, err := c.Do(addr, Call{Method: "GET", Target: "/"}, 5*time.Second)
+		return err
+	}
+	fill := func(left float64) { sockets.open.Store(limit - int64(left*limit)) }
+	if err := ask(worker); err != nil || sockets.open.Load() != 1 {
+		t.Fatalf("%d open, %v", sockets.open.Load(), err)
+	}
+	fill(tuning.SocketsTight - 0.01)
+	before := sockets.open.Load()
+	worker.Sweep()
+	if n := sockets.open.Load(); n != before-1 {
+		t.Errorf("%d of %d open after the idle one was to go", n, before)
+	}
+	if err := ask(worker); err != nil || sockets.open.Load() != before-1 {
+		t.Errorf("%d open after a call, %v", sockets.open.Load(), err)
+	}
+	fill(tuning.SocketsScarce - 0.01)
+	if err := ask(worker); !errors.Is(err, errNoSocket) {
+		t.Errorf("a direct order takes one of the last sockets: %v", err)
+	}
+	if err := ask(state); err != nil {
+		t.Errorf("the state service is not called: %v", err)
+	}
+	if s := NewServer(nil, sockets, slog.New(slog.DiscardHandler)); s.sockets.Spent() {
+		t.Error("workers are refused while sockets are left for them")
+	}
+	if fill(0.001); !sockets.Spent() {
+		t.Error("the last sockets are given away")
+	}
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -256,3 +256,23 @@
 		})
 	}
 }
+
+// TestFetchesApart: a task whose image is cached nowhere goes to a machine that
+// fetches nothing, though a fuller one has room; images fetched at the same time
+// may share the rate.
+func TestFetchesApart(t *testing.T) {
+	y := newYard(large, large, large)
+	y.hosts[0].CPUs, y.hosts[0].Fetching = 16, 1
+	y.hosts[1].CPUs = 8
+	a := y.job(1, "standard", "x", 4, 1)
+	y.round()
+	if a[0].Host != "vm-001" {
+		t.Errorf("placed on %s", a[0].Host)
+	}
+	y.hosts[0].Use("y", 1)
+	b := y.job(2, "standard", "y", 4, 1)
+	y.round()
+	if b[0].Host != "vm-000" {
+		t.Errorf("with its image cached placed on %s", b[0].Host)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -146,8 +146,12 @@
 const (
 	// OrderTimeout is when a direct order counts as unanswered.
 	OrderTimeout = 2500 * time.Millisecond
-	// GreetAhead is the most machines that are told of a new token at a time.
-	GreetAhead = 32
+	// GreetAhead is the most machines that are told of a new token at a time,
+	// and GreetTimeout how long each is waited for. It learns the token with its
+	// next report in any case; a thousand silent ones are through in half a
+	// minute.
+	GreetAhead   = 64
+	GreetTimeout = 1500 * time.Millisecond
 	// OrdersPerMessage keeps an answer's line below 64 KiB.
 	OrdersPerMessage = 200
 	// SuspectReports is how many report intervals of silence keep new tasks
