--- a/internal/agents/table_test.go
+++ b/internal/agents/table_test.go
@@ -461,6 +461,7 @@
 	}
 	b.now += time.Second
 	b.table.Report(b.report()) // which makes the table take a new token
+	k.Doubt = false            // which settles it: tasks are read anew
 	b.worker.token = b.token
 	b.table.Report(b.report())
 	if !b.table.Open(h) {
