--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -116,6 +116,8 @@
 type Office interface {
 	Token() uint64
 	Valid() bool
+	// Answering tells whether reports are answered, and so taken in.
+	Answering() bool
 	Renew()
 }
 
@@ -143,6 +145,7 @@
 	hosts    map[string]*Host
 	list     []*Host       // in the order of their names
 	begun    time.Duration // this term
+	since    time.Duration // when reports began to be taken in, this time
 	ready    map[*Host]bool
 	greets   []*Host         // to be told of the token
 	greeting int             // being told
@@ -189,7 +192,7 @@
 // and none has for a while, though others are heard.
 func (t *Table) dark(name string) bool {
 	z := t.zones[name]
-	if z == nil || !t.set.Dark(z.up, t.rt.Now()-max(z.heard, t.begun)) {
+	if z == nil || !t.set.Dark(z.up, t.rt.Now()-max(z.heard, t.since)) {
 		return false
 	}
 	for _, o := range t.zones {
@@ -205,6 +208,7 @@
 // plus the hold.
 func (t *Table) Begin() {
 	t.begun = t.rt.Now()
+	t.since = t.begun
 	for _, h := range t.hosts {
 		h.Tasks = map[*work.Task]bool{}
 		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray, h.Fetching = 0, 0, 0, false, 0, 0
@@ -419,6 +423,11 @@
 		return
 	}
 	now := t.rt.Now()
+	if !t.office.Answering() {
+		// In an outage of the state service that outlasts the hold, reports are
+		// turned away: that is no silence of the machines.
+		t.since = now
+	}
 	for _, z := range t.zones {
 		z.up = 0
 	}
@@ -535,7 +544,7 @@
 
 // Quiet tells whether a machine has not reported for suspiciously long.
 func (t *Table) Quiet(h *Host) bool {
-	return h.Up && t.rt.Now()-max(h.Heard, t.begun) > t.set.DeadAfter()
+	return h.Up && t.rt.Now()-max(h.Heard, t.since) > t.set.DeadAfter()
 }
 
 // Unreachable answers for a node that may not act for the controllers.
--- a/internal/agents/table_test.go
+++ b/internal/agents/table_test.go
@@ -26,6 +26,7 @@
 	job    *work.Job
 	calls  []call // direct orders on their way
 	gone   func(*work.Task)
+	away   bool // reports are turned away
 	worker struct {
 		shift, tick, token uint64
 		leased             time.Duration
@@ -51,6 +52,7 @@
 
 func (b *bench) Token() uint64            { return b.token }
 func (b *bench) Valid() bool              { return true }
+func (b *bench) Answering() bool          { return !b.away }
 func (b *bench) Renew()                   { b.term() }
 func (b *bench) IsLoaded() bool           { return true }
 func (b *bench) Job(string) *work.Job     { return b.job }
@@ -468,3 +470,27 @@
 		t.Error("it has reported and gets nothing")
 	}
 }
+
+// TestOutageIsNoSilence guards against a fault of a day with an outage of the
+// state service that outlasted the hold: reports were turned away, and at its
+// end the machines counted as silent and were returned with their tasks.
+func TestOutageIsNoSilence(t *testing.T) {
+	b := newBench(1)
+	b.table.Report(b.report())
+	h := b.table.Get("vm-1")
+	for range 30 {
+		b.now += time.Second
+		b.away = true
+		b.table.Tick()
+	}
+	b.away = false
+	b.now += 3 * time.Second
+	b.table.Tick()
+	if b.table.Quiet(h) {
+		t.Error("a machine counts as silent that nobody listened to")
+	}
+	b.now += b.table.set.DeadAfter()
+	if !b.table.Quiet(h) {
+		t.Error("it has not reported since, and does not count as silent")
+	}
+}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -29,12 +29,15 @@
 	untold bool // a digest may not have arrived
 }
 
-// Token, Valid and Renew are the block's lease, as the table sees it.
+// Token, Valid, Answering and Renew are the block's lease, as the table sees it.
 func (o *owner) Token() uint64 { return o.token }
 
 // Valid tells whether the lease surely holds now.
 func (o *owner) Valid() bool { return o.token != 0 && o.node.office.Valid() }
 
+// Answering tells whether reports are taken in.
+func (o *owner) Answering() bool { return o.node.answering(o) }
+
 // Renew asks for a new token.
 func (o *owner) Renew() { o.node.office.Renew(o.block) }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -192,7 +192,8 @@
 	counter  uint64
 	term     int
 	begun    time.Duration
-	listed   bool // the machine list has been read in this term
+	since    time.Duration // when this node could begin to act, this time
+	listed   bool          // the machine list has been read in this term
 	flying   map[string]hire
 	tokens   float64
 	filled   time.Duration
@@ -294,6 +295,7 @@
 func (f *Fleet) Begin() {
 	f.term++
 	f.begun = f.rt.Now()
+	f.since = f.begun
 	f.listed, f.counter = false, 0
 	clear(f.machines)
 	clear(f.flying)
@@ -437,11 +439,11 @@
 func (f *Fleet) unheard(m *machine) bool {
 	w, now := &f.words[m.block], f.rt.Now()
 	return !m.known && m.running > 0 && w.any && now-w.heard < tuning.DigestStale &&
-		now-max(w.since, m.running) > f.set.DeadAfter()
+		now-max(w.since, m.running, f.since) > f.set.DeadAfter()
 }
 
 // silence is how long no owner has heard from a zone.
-func (f *Fleet) silence(zone string) time.Duration { return f.rt.Now() - max(f.lit[zone], f.begun) }
+func (f *Fleet) silence(zone string) time.Duration { return f.rt.Now() - max(f.lit[zone], f.since) }
 
 // dark tells whether a zone is cut off from the owners, though others are not.
 // Its machines are no room and none are rented there; see tuning.DarkKeep.
@@ -600,6 +602,7 @@
 	}
 	f.rt.After(tuning.FleetRound, func() { f.round(term) })
 	if !f.office.Valid() {
+		f.since = f.rt.Now()
 		return
 	}
 	f.judge()
@@ -665,7 +668,9 @@
 			// After a burst most are idle at once: so many are not soon needed.
 			keep = min(keep, time.Duration(float64(f.set.IdleKeep())*tuning.IdleLeast))
 		}
-		if m.idles(f) && now-m.idle > keep && now-f.begun > keep/2 {
+		// Idle in an outage, when nothing could be handed out, says nothing of
+		// what is needed: most machines went back just when it was over.
+		if m.idles(f) && now-max(m.idle, f.since) > keep {
 			m.drain = "idle" // its owner agrees, then gives it back
 			idle--
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -34,10 +34,11 @@
 
 var _ engine.Runtime = (*still)(nil)
 
-type leading struct{}
+// leading is the leader's office; out: its lease has run out.
+type leading struct{ out bool }
 
 func (leading) Lead() uint64     { return 7 }
-func (leading) Valid() bool      { return true }
+func (l leading) Valid() bool    { return !l.out }
 func (leading) Owner(int) string { return "node-0" }
 
 // TestNewOwnerLosesNoMachine guards against a fault seen on a rough day: a new
@@ -230,3 +231,56 @@
 		t.Errorf("%d machines of a zone that does not come back returned", returned)
 	}
 }
+
+// TestIdleInAnOutage guards against a fault of a day with a long outage of the
+// state service: nothing could be handed out, all machines became idle, and when
+// it was over they were returned at once, two thousand of them.
+func TestIdleInAnOutage(t *testing.T) {
+	rt := &still{now: time.Hour}
+	set := &settings.Settings{}
+	set.Deployment.Workers.ReportS = 10
+	office := &leading{}
+	f := New(rt, "", office, set, slog.New(slog.DiscardHandler))
+	f.types = []jobs.MachineType{{Label: "g8", CPUs: 8, BootS: 20}}
+	f.Begin()
+	rt.now += time.Hour
+	d := &Digest{Full: true}
+	for i := range 40 {
+		d.Hosts = append(d.Hosts, HostState{ID: fmt.Sprint("vm-", i), Build: "g8", Up: true, Open: true})
+	}
+	second := func() {
+		rt.now += time.Second
+		for i := range d.Hosts {
+			d.Hosts[i].IdleMS += 1000
+		}
+		d.Seq++
+		f.Hear(d)
+		f.round(f.term)
+	}
+	drained := func() (n int) {
+		for _, m := range f.machines {
+			if m.drain != "" {
+				n++
+			}
+		}
+		return n
+	}
+	second()
+	office.out = true
+	for range 60 {
+		second()
+	}
+	office.out = false
+	for range 8 {
+		second()
+	}
+	if n := drained(); n > 0 {
+		t.Errorf("%d machines go back right after the outage", n)
+	}
+	for range int(tuning.IdleKeep / time.Second) {
+		second()
+	}
+	if drained() == 0 {
+		t.Error("machines that stay idle are kept for ever")
+	}
+}
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -496,6 +496,7 @@
 	var guards []ledger.Guard
 	var apply []ledger.Change
 	var records []*work.Record
+	var made []*batch // those of the records
 	for _, b := range batches {
 		sort.Ints(b.tasks)
 		r := work.NewRecord(b.block, b.plan.e.ID, b.plan.number, b.tasks, b.plan.zones, b.plan.attempts)
@@ -508,22 +509,40 @@
 		}
 		guards = append(guards, ledger.Guard{Key: r.Key})
 		apply = append(apply, ledger.Change{Set: r.Key, Value: value})
-		records = append(records, r)
+		records, made = append(records, r), append(made, b)
 		l.pending[r.Key] = r
 		l.count(b.plan, r, 1)
 	}
-	l.post(guards, apply, batches, records, 0)
+	l.post(guards, apply, made, records, 0, false)
+}
+
+// drop takes back what was to be handed out in a record that was not made.
+func (l *Leader) drop(b *batch, r *work.Record) {
+	delete(l.pending, r.Key)
+	l.count(b.plan, r, -1)
+	l.takeBack(b)
 }
 
 // post sends a hand-out until it is known what came of it. Sent again after
-// no answer, it fails on its own records if the first was carried out.
-func (l *Leader) post(guards []ledger.Guard, apply []ledger.Change, batches []*batch, records []*work.Record, try int) {
+// no answer (doubt), it fails on its own records if the first was carried out.
+func (l *Leader) post(guards []ledger.Guard, apply []ledger.Change, batches []*batch, records []*work.Record, try int, doubt bool) {
 	l.commit(guards, apply, func(r ledger.Result) {
 		switch r.Outcome {
 		case ledger.OK:
 			// The watch brings the records in.
-		case ledger.Refused, ledger.Unknown:
-			l.later(try, func() { l.post(guards, apply, batches, records, try+1) })
+		case ledger.Refused:
+			// Where changes are scarce, a large commit finds none left again
+			// and again while small ones of others pass: half of it next. Not
+			// so if an earlier try may yet be carried out, whole.
+			if n := len(records) / 2; n > 0 && !doubt {
+				for i, rec := range records[n:] {
+					l.drop(batches[n+i], rec)
+				}
+				guards, apply, batches, records = guards[:n], apply[:n], batches[:n], records[:n]
+			}
+			l.later(try, func() { l.post(guards, apply, batches, records, try+1, doubt) })
+		case ledger.Unknown:
+			l.later(try, func() { l.post(guards, apply, batches, records, try+1, true) })
 		default:
 			// Some of the keys exist: an earlier try was carried out. If the
 			// records are there, the watch has counted them.
@@ -535,16 +554,13 @@
 				}
 				l.flying = false
 				if err != nil {
-					l.later(try, func() { l.post(guards, apply, batches, records, try+1) })
+					l.later(try, func() { l.post(guards, apply, batches, records, try+1, doubt) })
 					return
 				}
 				for i, rec := range records {
-					if l.pending[rec.Key] == nil {
-						continue
+					if l.pending[rec.Key] != nil {
+						l.drop(batches[i], rec)
 					}
-					delete(l.pending, rec.Key)
-					l.count(batches[i].plan, rec, -1)
-					l.takeBack(batches[i])
 				}
 				l.wanted = true
 			})
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -96,7 +96,8 @@
 	loads   map[string]*load
 	pending map[string]*work.Record // handed out, not seen in the store yet
 	ends    []*plan
-	stale   []string
+	stale   []string // records to remove
+	swept   time.Duration
 	flying  bool
 	wanted  bool
 	timed   bool
@@ -470,11 +471,11 @@
 		if l.plans[p.e.ID] != p {
 			continue
 		}
-		if len(apply) > 0 && (l.alone || len(apply)+1+len(l.store.OfJob(p.e.ID)) > most) {
+		if len(apply) == most || (len(apply) > 0 && l.alone) {
 			rest = append(rest, l.ends[n:]...)
 			break
 		}
-		g, a := l.finish(p, most)
+		g, a := l.finish(p, most-len(apply))
 		if len(a) == 0 {
 			continue
 		}
@@ -531,10 +532,13 @@
 	})
 }
 
-// finish gives the changes that end a job: the phase that its user will be
-// told, and the removal of its records, as many as one commit takes. The tasks
-// of a job are counted once more, each by its number: a job is never called
-// done before all of its tasks are.
+// finish gives the changes that end a job. Of a job that is done it is the phase
+// that its user will be told; its records are removed when there is time for it:
+// in one commit with them the ends of a backlog took the changes of twenty
+// seconds, and nothing was handed out meanwhile. Of a cancelled one it is the
+// removal of its records, as many as a commit takes. The tasks of a job are
+// counted once more, each by its number: a job is never called done before all of
+// its tasks are.
 func (l *Leader) finish(p *plan, most int) (guards []ledger.Guard, apply []ledger.Change) {
 	id := p.e.ID
 	records := l.store.OfJob(id)
@@ -563,8 +567,8 @@
 			l.log.Error("job record does not encode", "err", err)
 			return nil, nil
 		}
-		guards = append(guards, ledger.Guard{Key: intake.Prefix + id, Stamp: e.Stamp})
-		apply = append(apply, ledger.Change{Set: intake.Prefix + id, Value: value})
+		p.ending = true
+		return []ledger.Guard{{Key: intake.Prefix + id, Stamp: e.Stamp}}, []ledger.Change{{Set: intake.Prefix + id, Value: value}}
 	} else if len(records) == 0 {
 		l.forget(p)
 		return nil, nil
@@ -580,10 +584,17 @@
 	return guards, apply
 }
 
-// sweep removes records of jobs that are over.
+// sweep removes records of jobs that are over, a part of the changes at a time.
 func (l *Leader) sweep() {
+	now := l.rt.Now()
+	if len(l.stale) == 0 || now-l.swept < tuning.SweepEvery {
+		return
+	}
+	l.swept = now
 	var apply []ledger.Change
-	for len(l.stale) > 0 && len(apply) < min(l.set.Deployment.State.TxnOps, max(1, int(l.set.Deployment.State.WriteRPS/3))) {
+	state := &l.set.Deployment.State
+	most := min(state.TxnOps, max(1, int(state.WriteRPS*tuning.SweepShare*tuning.SweepEvery.Seconds())))
+	for len(l.stale) > 0 && len(apply) < most {
 		key := l.stale[0]
 		l.stale = l.stale[1:]
 		if l.store.Get(key) != nil {
@@ -599,7 +610,6 @@
 				l.stale = append(l.stale, c.Remove)
 			}
 		}
-		l.later(3, func() {})
 	})
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -88,6 +88,10 @@
 	// WriteShare is the part of the state service's write budget that an
 	// owner's records may use; the rest is for submissions and cancellations.
 	WriteShare = 0.6
+	// SweepEvery is the time between two removals of records of jobs that are
+	// over, and SweepShare the part of the changes that they take.
+	SweepEvery = 1 * time.Second
+	SweepShare = 0.2
 	// DoneDelay is how long a completed task may wait to share a commit with
 	// others; only the machine's memory of it waits.
 	DoneDelay = 700 * time.Millisecond
