--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -33,6 +33,7 @@
 	began   time.Duration // the newest of those
 	resting bool          // after a refused one
 	timed   bool
+	most    int // submissions in a commit; few while changes are scarce
 	pending map[string]*creation
 }
 
@@ -47,7 +48,7 @@
 
 // NewDesk returns a desk.
 func NewDesk(rt engine.Runtime, led *ledger.Client, cat *Catalog, set *settings.Settings, log *slog.Logger) *Desk {
-	return &Desk{rt: rt, led: led, cat: cat, set: set, log: log, pending: map[string]*creation{},
+	return &Desk{rt: rt, led: led, cat: cat, set: set, log: log, most: set.Deployment.State.TxnOps, pending: map[string]*creation{},
 		Progress: func(string) (int, int) { return 0, 0 }}
 }
 
@@ -153,7 +154,7 @@
 	var guards []ledger.Guard
 	var sets []ledger.Change
 	size := 0
-	for len(d.queue) > 0 && len(batch) < d.set.Deployment.State.TxnOps && size < tuning.CommitBytes {
+	for len(d.queue) > 0 && len(batch) < d.most && size < tuning.CommitBytes {
 		c := d.queue[0]
 		d.queue = d.queue[1:]
 		if d.rt.Now() >= c.expires {
@@ -174,6 +175,7 @@
 		d.flights--
 		switch r.Outcome {
 		case ledger.OK:
+			d.most = min(2*d.most, d.set.Deployment.State.TxnOps)
 			for _, c := range batch {
 				d.cat.Learn(c.id, c.value, r.Epoch)
 				d.finish(c, func(reply httpwire.Reply) {
@@ -193,6 +195,9 @@
 				}
 			}
 		case ledger.Refused:
+			// A large commit finds no changes left again and again while small
+			// ones of others pass.
+			d.most = max(1, len(batch)/2)
 			most := 0
 			for _, c := range batch {
 				c.tries++
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -134,6 +134,29 @@
 	return taken
 }
 
+// order lists the blocks: home first, then those with the most room.
+func (b *board) order(home int) []int {
+	list := make([]int, len(b.cpus))
+	free := make([]float64, len(b.cpus))
+	for block := range list {
+		list[block] = block
+	}
+	for _, s := range b.racks {
+		if !s.booting {
+			for i := range s.rooms {
+				free[s.block] += s.rooms[i].cpus
+			}
+		}
+	}
+	sort.SliceStable(list, func(i, k int) bool {
+		if x, y := list[i] == home, list[k] == home; x != y {
+			return x
+		}
+		return free[list[i]] > free[list[k]]
+	})
+	return list
+}
+
 // serves tells which blocks have a machine that may run a job's tasks.
 func (b *board) serves(p *plan, zone string) []bool {
 	list := make([]bool, len(b.cpus))
@@ -344,11 +367,11 @@
 	}
 	zone := work.ZoneOf(p.zones, 0)
 	for _, booting := range []bool{false, true} {
-		if home >= 0 && n > 0 {
-			b.take(p, zone, home, booting, n, give)
-		}
-		if n > 0 {
-			b.take(p, zone, -1, booting, n, give)
+		// Block by block, so that a job makes few records: changes are scarce.
+		for _, block := range b.order(home) {
+			if n > 0 {
+				b.take(p, zone, block, booting, n, give)
+			}
 		}
 	}
 	need(p, zone, n)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -87,7 +87,7 @@
 	ListPage = 1000
 	// WriteShare is the part of the state service's write budget that an
 	// owner's records may use; the rest is for submissions and cancellations.
-	WriteShare = 0.6
+	WriteShare = 0.45
 	// SweepEvery is the time between two removals of records of jobs that are
 	// over, and SweepShare the part of the changes that they take.
 	SweepEvery = 1 * time.Second
