--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/bits"
 	"regexp"
 	"slices"
 
@@ -53,6 +54,11 @@
 // Priority of the job.
 func (d *Description) Priority() Priority { return priorities[d.Urgency] }
 
+// Size orders jobs by their work, by powers of two.
+func (d *Description) Size() int {
+	return bits.Len64(uint64(float64(d.Tasks) * d.CPUs * max(d.EstimateS, 1)))
+}
+
 // Service tells whether the tasks run until the job is cancelled.
 func (d *Description) Service() bool { return d.Shape == "daemon" }
 
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -627,6 +627,9 @@
 	if a.within != b.within {
 		return a.within
 	}
+	if p, q := a.desc.Size(), b.desc.Size(); p != q {
+		return p < q
+	}
 	if a.e.At != b.e.At {
 		return a.e.At < b.e.At
 	}
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -96,6 +96,9 @@
 	if a.Within != b.Within {
 		return a.Within
 	}
+	if p, q := a.Desc.Size(), b.Desc.Size(); p != q {
+		return p < q
+	}
 	if a.Submitted != b.Submitted {
 		return a.Submitted < b.Submitted
 	}
