--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -45,6 +45,11 @@
 			w.set.Deployment.Teams[0].CPUs = 2 * tuning.BlockCPUs
 			w.reboot()
 		}
+		if rapid.IntRange(0, 3).Draw(t, "scarce changes") == 0 {
+			w.writes = 15
+			w.set.Deployment.State.WriteRPS = 15
+			w.reboot()
+		}
 		const faultsEnd = 70 * time.Second
 		for i := range rapid.IntRange(2, 8).Draw(t, "jobs") {
 			j := jobFor(t, i)
@@ -326,3 +331,64 @@
 		}
 	}
 }
+
+// TestBacklogAfterAnOutage guards against a fault of a day with a long outage:
+// with few changes a second, the ends of jobs and the removal of their records
+// came before all hand-outs, and commits too large for what was left were refused
+// again and again. Nothing was handed out for twenty seconds, submissions given
+// up, and the idle machines returned meanwhile.
+func TestBacklogAfterAnOutage(t *testing.T) {
+	w := newWorld(12)
+	w.writes = 10
+	w.set.Deployment.State.WriteRPS = 10
+	w.reboot()
+	job := func(i int, at, length time.Duration) *simJob {
+		j := &simJob{id: fmt.Sprintf("wk-%06d", i), team: []string{"red", "blue"}[i%2], tasks: 3, cpus: 1, length: length, spot: true, done: map[int]bool{}}
+		w.after(at, func() { w.user(j, 0) })
+		return j
+	}
+	for i := range 30 { // most of them end during the outage
+		job(i, time.Duration(5+i)*time.Second, 5*time.Second)
+	}
+	w.after(36*time.Second, func() { w.outage = true })
+	const over = 76 * time.Second
+	var late []*simJob
+	for i := range 30 {
+		late = append(late, job(100+i, 46*time.Second+time.Duration(i)*time.Second, time.Second))
+	}
+	w.after(over, func() {
+		w.outage = false
+		for _, g := range w.state.grants {
+			g.ends = w.now + g.ttl
+		}
+	})
+	w.run(over + 10*time.Second)
+	accepted := 0
+	for _, j := range late {
+		if j.accepted {
+			accepted++
+		}
+	}
+	if accepted < len(late) {
+		t.Errorf("%d of %d submissions are accepted 10 s after the outage", accepted, len(late))
+	}
+	w.run(over + 40*time.Second)
+	finished := 0
+	for _, j := range w.jobs {
+		if j.told != "" {
+			finished++
+		}
+	}
+	if finished < len(w.jobs) {
+		t.Errorf("%d of %d jobs are over 40 s after the outage", finished, len(w.jobs))
+	}
+	w.run(200 * time.Second)
+	for _, b := range w.broken {
+		t.Error(b)
+	}
+	for _, j := range w.jobs {
+		if j.told != "done" {
+			t.Errorf("%s is %q", j.id, j.told)
+		}
+	}
+}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -46,6 +46,7 @@
 	repeat   float64         // of requests carried out once more, later
 	copies   float64         // of reports of which a copy comes late
 	outage   bool            // of the state service
+	writes   float64         // changes a second that it allows, 0: any number
 	starts   int
 	finished int
 }
@@ -265,6 +266,8 @@
 	log    []change
 	grants map[uint64]*grant
 	next   uint64
+	spare  float64 // changes that may be made now, where they are limited
+	filled time.Duration
 	waits  []*waiting
 }
 
@@ -480,6 +483,14 @@
 			return answer(400, nil)
 		}
 	}
+	if rate := s.w.writes; rate > 0 {
+		s.spare = min(rate, s.spare+rate*(s.w.now-s.filled).Seconds())
+		s.filled = s.w.now
+		if s.spare < float64(len(t.Apply)) {
+			return answer(429, map[string]string{"error": "too many changes"})
+		}
+		s.spare -= float64(len(t.Apply))
+	}
 	if len(failed) > 0 {
 		return answer(409, map[string]any{"failed": failed, "epoch": s.epoch})
 	}
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -163,6 +163,26 @@
 	})
 }
 
+// TestOrderOfJobs: priority, then aims that can still be met, then guarantees;
+// of jobs alike in these the smaller goes first, so that under overload more meet
+// their aims, and jobs of about the same size go by age.
+func TestOrderOfJobs(t *testing.T) {
+	job := func(id, urgency string, missed int, within bool, tasks int, at int64) *Job {
+		return &Job{Desc: &jobs.Description{ID: id, Urgency: urgency, Tasks: tasks, CPUs: 1, EstimateS: 10}, Missed: missed, Within: within, Submitted: at}
+	}
+	order := []*Job{
+		job("wk-1", "urgent", 0, true, 10, 50), job("wk-2", "urgent", 0, true, 200, 10), job("wk-3", "urgent", 0, true, 190, 20),
+		job("wk-4", "urgent", 0, false, 5, 5), job("wk-5", "urgent", 1, true, 5, 1), job("wk-6", "standard", 0, true, 1, 1),
+	}
+	for i, a := range order {
+		for k, b := range order {
+			if Before(a, b) != (i < k) {
+				t.Errorf("%s before %s: %v", a.Desc.ID, b.Desc.ID, Before(a, b))
+			}
+		}
+	}
+}
+
 // BenchmarkPack shows what it costs to write a page, by the tasks on it.
 func BenchmarkPack(b *testing.B) {
 	for _, n := range []int{50, 500} {
