--- a/internal/agents/table_test.go
+++ b/internal/agents/table_test.go
@@ -369,6 +369,21 @@
 	}
 }
 
+// BenchmarkTick shows the cost of the look at all machines, by their number.
+func BenchmarkTick(bm *testing.B) {
+	for _, n := range []int{1000, 2000, 4000} {
+		bm.Run(fmt.Sprint(n, "machines"), func(bm *testing.B) {
+			b := newBench(1)
+			for i := range n {
+				b.table.Report(&Report{Host: fmt.Sprintf("vm-%06d", i), Addr: "w:1", Build: "g8", Zone: "a", Shift: 1, Tick: 1, Token: 1})
+			}
+			for bm.Loop() {
+				b.table.Tick()
+			}
+		})
+	}
+}
+
 // TestGreetsLiveMachinesFirst guards against a takeover that waits: of hundreds
 // of machines, those heard of late are told of the new token before any that
 // have been silent, each of which is waited for in vain.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -284,3 +284,37 @@
 		t.Error("machines that stay idle are kept for ever")
 	}
 }
+
+// BenchmarkLeader shows what the leader's look at all machines and an owner's
+// word cost, by the number of machines.
+func BenchmarkLeader(b *testing.B) {
+	for _, n := range []int{1000, 2000, 4000} {
+		rt := &still{now: time.Hour}
+		set := &settings.Settings{}
+		set.Deployment.Workers.ReportS = 10
+		f := New(rt, "", leading{}, set, slog.New(slog.DiscardHandler))
+		f.types = []jobs.MachineType{{Label: "g8", CPUs: 8, BootS: 20}}
+		d := &Digest{Full: true, Lit: []string{"a", "b"}}
+		for i := range n {
+			d.Hosts = append(d.Hosts, HostState{ID: fmt.Sprintf("vm-%06d", i), Build: "g8", Zone: "ab"[i%2 : i%2+1], Up: true, Open: true, Busy: true})
+		}
+		f.Hear(d)
+		b.Run(fmt.Sprint("rooms of ", n), func(b *testing.B) {
+			for b.Loop() {
+				f.Rooms(func(*Room) {})
+			}
+		})
+		b.Run(fmt.Sprint("judge ", n), func(b *testing.B) {
+			for b.Loop() {
+				f.judge()
+			}
+		})
+		d.Full, d.Hosts = false, d.Hosts[:n/20]
+		b.Run(fmt.Sprint("word of a twentieth of ", n), func(b *testing.B) {
+			for b.Loop() {
+				d.Seq++
+				f.Hear(d)
+			}
+		})
+	}
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -234,7 +234,7 @@
 // BenchmarkRound shows what a round costs by the number of machines, all full,
 // with as many tasks waiting.
 func BenchmarkRound(bm *testing.B) {
-	for _, n := range []int{250, 2400} {
+	for _, n := range []int{1000, 2000, 4000} {
 		bm.Run(fmt.Sprint(n, "machines"), func(bm *testing.B) {
 			types := make([]*jobs.MachineType, n)
 			for i := range types {
