--- a/internal/httpwire/sockets_test.go
+++ b/internal/httpwire/sockets_test.go
@@ -66,10 +66,53 @@
 	if err := ask(state); err != nil {
 		t.Errorf("the state service is not called: %v", err)
 	}
-	if s := NewServer(nil, sockets, slog.New(slog.DiscardHandler)); s.sockets.Spent() {
+	if sockets.Spent() {
 		t.Error("workers are refused while sockets are left for them")
 	}
 	if fill(0.001); !sockets.Spent() {
 		t.Error("the last sockets are given away")
 	}
 }
+
+// TestUsersYieldToReports: with few sockets left users are refused at once and
+// told when to come back, and reports are answered.
+func TestUsersYieldToReports(t *testing.T) {
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Skip("no loopback here:", err)
+	}
+	addr := probe.Addr().String()
+	probe.Close()
+	const limit = 1000
+	sockets := NewSockets(limit)
+	server := NewServer(func(_ *Request, reply Reply) { reply(200, []byte("{}"), 0) }, sockets, slog.New(slog.DiscardHandler))
+	server.IsUser = func(r *Request) bool { return r.Path == "/work" }
+	go func() { _ = server.Serve(addr) }()
+	client := NewClient(NewSockets(0))
+	ask := func(path string) (int, bool) {
+		var ans *Answer
+		for range 200 { // until it listens
+			if ans, _, err = client.Do(addr, Call{Method: "GET", Target: path}, 5*time.Second); err == nil {
+				return ans.Status, ans.Close
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Fatal(err)
+		return 0, false
+	}
+	for _, c := range []struct {
+		left   float64
+		path   string
+		status int
+		close  bool
+	}{
+		{0.5, "/work", 200, false}, {0.5, "/beat", 200, false},
+		{tuning.SocketsTight - 0.03, "/work", 200, true}, {tuning.SocketsTight - 0.03, "/beat", 200, false},
+		{tuning.SocketsScarce - 0.02, "/work", 503, true}, {tuning.SocketsScarce - 0.02, "/beat", 200, false},
+	} {
+		sockets.open.Store(limit - int64(c.left*limit))
+		if status, closed := ask(c.path); status != c.status || closed != c.close {
+			t.Errorf("%s with %.2f of the sockets left: %d, closed %v", c.path, c.left, status, closed)
+		}
+	}
+}
