--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -40,7 +40,9 @@
 	fleet  *fleet.Fleet
 	owners []*owner
 	begin  func(blocks int)
-	peers  map[string]string // endpoints by node
+
+	misread bool              // the stored layout does not parse
+	peers   map[string]string // endpoints by node
 
 	lastBeat time.Duration         // from any worker, for any block
 	sent     map[string]redirected // workers sent to their owners
--- a/internal/controller/layout.go
+++ b/internal/controller/layout.go
@@ -32,7 +32,10 @@
 				continue
 			}
 			if err := json.Unmarshal(r.Value, &l); err != nil || l.Blocks < 1 {
-				n.log.Error("stored layout does not parse, nothing is done until it is put right", "value", string(r.Value), "err", err)
+				if !n.misread {
+					n.misread = true // said once, not with each try
+					n.log.Error("stored layout does not parse, nothing is done until it is put right", "value", string(r.Value), "err", err)
+				}
 				again()
 				return
 			}
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -392,3 +392,29 @@
 		}
 	}
 }
+
+// TestBadLayoutStopsAll: a stored number of blocks that makes no sense is never
+// guessed at: nothing is led, owned or accepted until it is put right.
+func TestBadLayoutStopsAll(t *testing.T) {
+	w := newWorld(13)
+	w.reboot()
+	for _, bad := range []string{`{"blocks":0}`, `"x"`, `{}`} {
+		w.state.keys[layoutKey] = &entry{[]byte(bad), 1, 0}
+		for _, n := range w.nodes {
+			n.crash(100 * time.Millisecond)
+		}
+		w.run(w.now + 20*time.Second)
+		for _, n := range w.nodes {
+			if n.node.office.Lead() != 0 || n.node.healthy() {
+				t.Errorf("%s acts under the layout %s", n.name, bad)
+			}
+		}
+	}
+	w.state.keys[layoutKey] = &entry{[]byte(`{"blocks":1}`), 2, 0}
+	j := &simJob{id: "wk-000001", team: "red", tasks: 3, cpus: 1, length: time.Second, spot: true, done: map[int]bool{}}
+	w.user(j, 0)
+	w.run(w.now + 40*time.Second)
+	if j.told != "done" {
+		t.Errorf("put right, the job is %q", j.told)
+	}
+}
