--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -62,6 +62,7 @@
 	Failed  int           // tasks that failed here since one ran well
 	FailedJ map[string]bool
 	flying  bool // a direct order is under way
+	ask     bool // how its tasks are is to be asked directly
 	inLine  bool // to be told of the token
 	images  []cached
 }
@@ -229,6 +230,9 @@
 	}
 	token := t.office.Token()
 	t.book.Jobs(func(j *work.Job) {
+		if j.Gang != nil {
+			t.take(j)
+		}
 		for _, c := range j.Chunks {
 			for _, k := range c.Tasks {
 				if k.State == work.Placed {
@@ -351,7 +355,7 @@
 
 func (t *Table) occupy(h *Host, k *work.Task) {
 	h.Tasks[k] = true
-	if !k.Running {
+	if !k.Imaged {
 		h.Fetching++
 	}
 	h.CPUs += k.Job.Desc.CPUs
@@ -372,19 +376,16 @@
 		h.CPUs, h.Cards, h.Memory = 0, 0, 0
 		h.Idle = t.rt.Now()
 	}
-	if !k.Running {
+	if !k.Imaged {
 		h.Fetching--
 	}
-	k.Running = false
+	k.Running, k.Imaged = false, false
 }
 
 // Place gives a waiting task to a machine. The launch leaves once the
 // placement is durable.
 func (t *Table) Place(k *work.Task, h *Host) {
-	k.State, k.Host = work.Placed, h.ID
-	k.Job.Began = true
-	k.Attempt++
-	k.Durable, k.Sent, k.Flying, k.Doubt, k.Seen, k.Running, k.Stopping = false, false, false, false, false, false, false
+	k.Placing(h.ID)
 	k.MinToken, k.Shift, k.Tick = t.office.Token(), 0, 0
 	t.occupy(h, k)
 	t.book.Changed(k, true)
@@ -392,20 +393,38 @@
 
 // Launchable notes that a placement is durable.
 func (t *Table) Launchable(k *work.Task) {
+	if k.Job.Gang != nil {
+		if k.Launchable() { // with the last of a gang, all of it
+			for _, o := range k.Job.Tasks {
+				if h := t.hosts[o.Host]; h != nil {
+					t.ready[h] = true
+				}
+			}
+		}
+		return
+	}
 	if h := t.hosts[k.Host]; h != nil {
 		t.ready[h] = true
 	}
 }
 
-// proveGone ends a placement: the task is surely not on its machine.
-func (t *Table) proveGone(h *Host, k *work.Task) {
+// proveGone ends a placement: the task is surely not on its machine. how only
+// matters for a gang.
+func (t *Table) proveGone(h *Host, k *work.Task, how work.Loss) {
 	t.vacate(h, k)
 	k.State, k.Host = work.Waiting, ""
-	k.Durable, k.Sent, k.Flying, k.Doubt, k.Seen, k.Stopping = false, false, false, false, false, false
+	k.Durable, k.Sent, k.Flying, k.Doubt, k.Seen, k.Stopping, k.Told, k.Ran = false, false, false, false, false, false, false, false
 	if k.Job.Cancelled {
 		t.book.Drop(k)
 		return
 	}
+	if g := k.Job.Gang; g != nil {
+		if g.Done {
+			t.book.TaskDone(k)
+			return
+		}
+		t.lost(k, how)
+	}
 	t.book.Changed(k, false)
 	t.Waiting(k)
 }
@@ -448,8 +467,8 @@
 			}
 			// Never launched: free for another machine when this one does
 			// not take tasks any more.
-			if h.Draining != "" || h.Deaf || k.Job.Cancelled || (h.Up && now-h.Heard > t.set.DeadAfter()/2) || !h.Up {
-				t.proveGone(h, k)
+			if g := k.Job.Gang; (g != nil && (g.Over || g.Done)) || h.Draining != "" || h.Deaf || k.Job.Cancelled || (h.Up && now-h.Heard > t.set.DeadAfter()/2) || !h.Up {
+				t.proveGone(h, k, work.Unready)
 			}
 		}
 		if !h.Silent && now > t.leaseEnd(h) && len(h.Tasks) > 0 {
@@ -458,6 +477,11 @@
 			t.clear(h)
 		}
 	}
+	t.book.Jobs(func(j *work.Job) {
+		if j.Gang != nil {
+			t.tend(j, now)
+		}
+	})
 }
 
 // move stops a running task that has to go on elsewhere: a replica on a machine
@@ -467,10 +491,10 @@
 	d := k.Job.Desc
 	saves := d.SaveEvery > 0 && h.Notice > 0 &&
 		now > h.Notice-time.Duration(d.SaveS*float64(time.Second))-tuning.NoticeReserve-tuning.SaveMargin
-	if h.Draining == "" || k.Stopping || !k.Running || !(d.Service() || saves) {
+	if h.Draining == "" || k.Stopping || !k.Running || k.Job.Gang != nil || !(d.Service() || saves) {
 		return
 	}
-	k.Stopping, k.WindDown = true, d.SaveS
+	k.Stop(d.SaveS)
 	t.ready[h] = true
 	t.log.Info("moving task", "host", h.ID, "task", k.Ref(), "why", h.Draining)
 }
@@ -486,7 +510,7 @@
 // clear proves all tasks of a machine gone.
 func (t *Table) clear(h *Host) {
 	for k := range h.Tasks {
-		t.proveGone(h, k)
+		t.proveGone(h, k, work.Vanished)
 	}
 }
 
@@ -697,10 +721,10 @@
 			switch {
 			case k.Shift > 0 && r.Shift > k.Shift, later && k.Seen:
 				// A later session: the worker killed all of the earlier one.
-				t.proveGone(h, k)
+				t.proveGone(h, k, work.Vanished)
 			case r.Token >= k.MinToken && acked && !k.Doubt && (k.Shift == 0 || (r.Shift == k.Shift && r.Tick > k.Tick)):
 				lost = lost || (k.Shift > 0 && !k.Seen)
-				t.proveGone(h, k)
+				t.proveGone(h, k, work.Vanished)
 			case k.Doubt:
 				// The order may still be under way; a new token settles it.
 				t.log.Info("order in doubt, renewing the token", "host", h.ID, "task", k.Ref())
@@ -720,16 +744,16 @@
 		}
 		switch {
 		case k.Job.Cancelled:
-			orders = append(orders, halt(k.Ref(), k.Attempt, 0))
+			orders = append(orders, halt(k.Ref(), k.Try(), 0))
 		case k.Stopping:
-			orders = append(orders, halt(k.Ref(), k.Attempt, k.WindDown))
+			orders = append(orders, halt(k.Ref(), k.Try(), k.WindDown))
 		}
 	}
 	if beat && t.office.Valid() && h.Draining == "" && !h.Deaf {
 		for k := range h.Tasks {
-			if k.Durable && !k.Sent && !k.Job.Cancelled && len(orders) < tuning.OrdersPerMessage {
+			if len(orders) < tuning.OrdersPerMessage && k.Launchable() {
 				k.Sent, k.Shift, k.Tick = true, r.Shift, r.Tick
-				orders = append(orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Attempt})
+				orders = append(orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Try()})
 			}
 		}
 	}
@@ -752,12 +776,15 @@
 		}
 	}
 	forget := Order{Verb: "forget", Task: l.Task, Attempt: l.Attempt}
-	if k == nil || k.State != work.Placed || k.Host != h.ID || k.Attempt != l.Attempt {
+	if k == nil || k.State != work.Placed || k.Host != h.ID || k.Try() != l.Attempt {
 		// Not what the records say: an attempt that is over, or never was.
 		if l.Phase != "ended" {
 			h.Stray++
 			return append(orders, halt(l.Task, l.Attempt, 0))
 		}
+		if k != nil && l.Cause == "done" && l.Phase == "ended" && k.Job.Gang != nil {
+			t.done(k.Job) // late, or of an earlier attempt: it is done all the same
+		}
 		if k != nil && k.State == work.Done && !k.DoneDurable {
 			return orders // done goes into the record before the worker forgets
 		}
@@ -777,23 +804,35 @@
 	}
 	k.Doubt = false
 	switch l.Phase {
-	case "running":
-		if !k.Running {
-			k.Running, k.Since = true, t.rt.Now()
+	case "running", "saving", "waiting":
+		if !k.Imaged {
+			k.Imaged = true
 			h.Fetching--
 		}
+		if l.Phase == "running" && !k.Running {
+			k.Running, k.Since = true, t.rt.Now()
+		}
+		t.mate(k, l.Phase)
 		return orders
 	case "ended":
-	default:
+	default: // fetching, or a state not known here: it is on the machine
+		t.mate(k, l.Phase)
 		return orders
 	}
+	how := work.Ended
 	switch l.Cause {
 	case "done":
 		h.Failed = 0
 		clear(h.FailedJ)
 		k.Job.Errors = 0
+		if k.Job.Gang != nil && !k.Job.Cancelled {
+			t.vacate(h, k)
+			t.book.TaskDone(k)
+			t.done(k.Job)
+			return orders
+		}
 		if k.Job.Desc.Service() {
-			t.proveGone(h, k)
+			t.proveGone(h, k, how)
 			return append(orders, forget)
 		}
 		t.vacate(h, k)
@@ -805,14 +844,34 @@
 		t.book.TaskDone(k)
 		return orders
 	case "error":
+		// Whether the others had started shows in their reports.
+		how = work.Vanished
 		t.failed(h, k)
 	case "full":
+		how = work.Unready
 		h.Refused = t.rt.Now() + tuning.RefusedPause
 		k.NotBefore = t.rt.Now() + tuning.RefusedPause/4
 	case "busy", "unknown":
+		how = work.Unready
 		k.NotBefore = t.rt.Now() + tuning.RefusedPause
+	case "halted":
+		if g := k.Job.Gang; g != nil && !g.Over && k.Stopping {
+			how = work.Vanished // one that waited was told to leave its machine
+		}
+	case "alone", "mates_gone":
+		// Nothing against the machine or the job.
+		if k.Job.Gang != nil && l.Cause == "mates_gone" {
+			k.Job.Gang.Started = true
+		}
+	default:
+		// A reason not known here proves nothing gone. Forgotten by the worker,
+		// it is off the list, and that does.
+		if !acked {
+			return orders
+		}
+		return append(orders, forget)
 	}
-	t.proveGone(h, k)
+	t.proveGone(h, k, how)
 	if !acked {
 		return orders
 	}
@@ -863,20 +922,25 @@
 	msg := Orders{Token: token, Shift: h.Shift}
 	var carried []*work.Task
 	for k := range h.Tasks {
-		if h.Draining == "" && k.Durable && !k.Sent && !k.Job.Cancelled && len(carried) < tuning.OrdersPerMessage {
+		if h.Draining == "" && len(carried) < tuning.OrdersPerMessage && k.Launchable() {
 			carried = append(carried, k)
-			msg.Orders = append(msg.Orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Attempt})
+			msg.Orders = append(msg.Orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Try()})
 		}
 	}
 	for k := range h.Tasks {
 		// Repeated or late, a halt does no harm: it names the attempt.
-		if k.Stopping && k.Seen && len(msg.Orders) < tuning.OrdersPerMessage {
-			msg.Orders = append(msg.Orders, halt(k.Ref(), k.Attempt, k.WindDown))
+		if k.Stopping && k.Seen && !k.Told && len(msg.Orders) < tuning.OrdersPerMessage {
+			k.Told = true // if this is lost, the next report's answer has it
+			msg.Orders = append(msg.Orders, halt(k.Ref(), k.Try(), k.WindDown))
 		}
 	}
-	if len(msg.Orders) == 0 {
+	if len(msg.Orders) == 0 && !h.ask {
 		return
 	}
+	h.ask = false
+	if msg.Orders == nil {
+		msg.Orders = []Order{}
+	}
 	body, err := json.Marshal(msg)
 	if err != nil {
 		t.log.Error("orders do not encode", "err", err)
--- a/internal/block/shelf.go
+++ b/internal/block/shelf.go
@@ -134,6 +134,9 @@
 	if j == nil {
 		j = &work.Job{Desc: e.Job, Submitted: e.At, Within: s.cat.Within(e), Cancelled: e.Phase == intake.Cancelled,
 			Tasks: map[int]*work.Task{}, Chunks: map[string]*work.Chunk{}}
+		if e.Job.Gang() {
+			j.Gang = &work.Gang{}
+		}
 		s.jobs[r.Job] = j
 	}
 	c := work.Load(j, r)
@@ -237,6 +240,12 @@
 	if !s.loaded || j == nil || j.Cancelled {
 		return
 	}
+	if g := j.Gang; g != nil {
+		if g.Attempt > 0 || g.Done || n < len(j.Tasks) {
+			return // whole or not at all
+		}
+		n = len(j.Tasks)
+	}
 	for _, c := range j.Chunks {
 		for i := len(c.Tasks) - 1; i >= 0 && n > 0; i-- {
 			if t := c.Tasks[i]; t.State == work.Waiting {
@@ -300,7 +309,7 @@
 
 // rate is this block's part of the write budget, in changes per second.
 func (s *Shelf) rate() float64 {
-	return s.set.Deployment.State.WriteRPS * tuning.WriteShare / float64(s.set.Blocks())
+	return s.set.Deployment.State.WriteRPS * tuning.WriteShare * s.led.Rate() / float64(s.set.Blocks())
 }
 
 // Flush commits changed tasks: at once if something waits for one, else after a
@@ -326,12 +335,12 @@
 		s.later(time.Duration((1 - s.budget) / s.rate() * float64(time.Second)))
 		return
 	}
-	s.commit(min(s.set.Deployment.State.TxnOps, int(s.budget), tuning.CommitBytes/s.pageBytes()))
+	s.commit(min(s.led.Ops(), int(s.budget), tuning.CommitBytes/s.pageBytes()))
 }
 
 // pageBytes is the most that a page of the log may hold.
 func (s *Shelf) pageBytes() int {
-	return min(tuning.PageBytes, int(s.set.Deployment.State.ValueKB*1024*tuning.ValueShare))
+	return min(tuning.PageBytes, s.led.ValueBytes())
 }
 
 // saved is a task as it was when its page was written.
@@ -404,7 +413,7 @@
 		case ledger.OK:
 			s.flights--
 			s.pages.written(free, r.Epoch)
-		case ledger.Refused:
+		case ledger.Refused, ledger.Invalid:
 			s.flights--
 			s.pages.written(free, 0)
 		}
@@ -432,8 +441,9 @@
 				}
 			}
 			s.Flush()
-		case ledger.Refused:
-			// Surely not carried out: the same again, a little later.
+		case ledger.Refused, ledger.Invalid:
+			// Surely not carried out: the same again, a little later; in smaller
+			// pages or commits if it was found too large.
 			s.tries++
 			s.resting = true
 			s.rt.After(s.led.Backoff(s.tries-1), func() {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -69,6 +69,7 @@
 	}
 	n.led = ledger.New(rt, set.External.State, log)
 	n.led.CheckEvery = set.CheckEvery()
+	n.led.SetLimits(ledger.Limits{Ops: set.TxnOps(), Value: set.ValueBytes(), Fall: set.WriteFall()})
 	n.build(nonce, rank)
 	n.begin = func(blocks int) {
 		if blocks != set.Blocks() {
@@ -138,6 +139,7 @@
 	n.cat.Pace(pace)
 	n.desk.Types = n.fleet.Types
 	n.desk.Progress = n.store.Progress
+	n.desk.Running = n.store.Running
 }
 
 // Start begins the node's work, once it is known how the machines are divided.
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -60,6 +60,10 @@
 }
 
 func (o *owner) arrive(t *work.Task) {
+	if t.Job.Gang != nil && t.Job.Spent() {
+		o.shelf.Recall(t.Job.Desc.ID, len(t.Job.Tasks)) // the leader divides it anew
+		return
+	}
 	o.planner.Arrive(t, o.node.rt.Now())
 	o.wanted = true
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -253,6 +253,16 @@
 
 // Zones fixes zones for a job whose tasks must or must not share one.
 func (f *Fleet) Zones(d *jobs.Description) []string {
+	zones := f.AllZones(d)
+	if d.OneZone {
+		return zones[:min(1, len(zones))]
+	}
+	return zones[:min(2, len(zones))]
+}
+
+// AllZones lists the zones where a job may run, those with the most machines
+// first.
+func (f *Fleet) AllZones(d *jobs.Description) []string {
 	room := map[string]float64{}
 	for i := range f.types {
 		t := &f.types[i]
@@ -285,10 +295,7 @@
 		}
 		return 1
 	})
-	if d.OneZone {
-		return zones[:min(1, len(zones))]
-	}
-	return zones[:min(2, len(zones))]
+	return zones
 }
 
 // Begin starts a term.
@@ -758,8 +765,19 @@
 	var order []Kind
 	wanted := map[Kind]int{}
 	var before float64 // seconds of one processor, of the needs so far
+	var coming []Room  // machines wanted for gangs in this look, with what is left of them
 	for i := range f.needs {
 		n := &f.needs[i]
+		if n.Desc.Gang() && n.Number > 0 {
+			if k, number := f.forGang(n, wanted, &coming); number > 0 {
+				if wanted[k] == 0 {
+					order = append(order, k)
+				}
+				have[k] += float64(number) * f.Type(k.Build).CPUs
+				wanted[k] += number
+			}
+			continue
+		}
 		before += float64(n.Number) * n.Desc.CPUs * max(n.Desc.EstimateS, 1)
 		queued := before + behind[n.Desc.Team]
 		for n.Number > 0 {
@@ -836,6 +854,94 @@
 	return best, max(1, min(number, int(math.Ceil(fill/t.CPUs)), tuning.HireAhead-wanted[best]))
 }
 
+// forGang finds the kind of machine, and how many, that hold all tasks of a gang
+// at the least price; none if machines that are wanted already have the room. It
+// cannot wait for room to come free bit by bit.
+func (f *Fleet) forGang(n *Need, wanted map[Kind]int, coming *[]Room) (best Kind, number int) {
+	left := n.Number
+	var filled []int // tasks on each of those that are coming
+	for i := range *coming {
+		k := 0
+		if r := &(*coming)[i]; left > 0 && f.empty(r.Kind).Could(n.Desc, n.Zone) {
+			k = min(left, tasksOn(r.Type, n.Desc))
+		}
+		filled = append(filled, k)
+		left -= k
+	}
+	take := func(r *Room, k int) {
+		r.Type.CPUs -= float64(k) * n.Desc.CPUs
+		r.Type.Cards -= float64(k) * n.Desc.Cards
+		r.Type.MemoryGB -= float64(k) * n.Desc.MemoryGB
+	}
+	if left <= 0 {
+		for i, k := range filled {
+			take(&(*coming)[i], k)
+		}
+		return best, 0
+	}
+	now, bestCost := f.rt.Now(), math.Inf(1)
+	for i := range f.types {
+		t := &f.types[i]
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				k, each := Kind{t.Label, zone, spot}, tasksOn(t, n.Desc)
+				if now < f.pauses[k] || f.dark(zone) || each == 0 || !f.empty(k).Could(n.Desc, n.Zone) {
+					continue
+				}
+				// Machines belong to blocks by their names, in turn, and a gang
+				// stays in one block if it can.
+				want := (n.Number + each - 1) / each
+				if want > 1 {
+					want *= len(f.words)
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				if cost := price * float64(want); cost < bestCost && wanted[k]+want <= tuning.HireAhead {
+					best, number, bestCost = k, want, cost
+				}
+			}
+		}
+	}
+	left = n.Number
+	for range number {
+		t := *f.Type(best.Build)
+		r := Room{Kind: best, Type: &t}
+		k := min(left, tasksOn(&t, n.Desc))
+		take(&r, k)
+		left -= k
+		*coming = append(*coming, r)
+	}
+	return best, number
+}
+
+// tasksOn tells how many tasks of a job fit on a machine.
+func tasksOn(t *jobs.MachineType, d *jobs.Description) int {
+	n := math.MaxInt32
+	for _, x := range [...]struct{ need, left float64 }{{d.CPUs, t.CPUs}, {d.Cards, t.Cards}, {d.MemoryGB, t.MemoryGB}} {
+		if x.need > 0 {
+			n = min(n, int(math.Floor((x.left+slack)/x.need)))
+		}
+	}
+	return max(n, 0)
+}
+
+// Rentable tells whether machines for a job can be had in a zone now, as far as
+// is known.
+func (f *Fleet) Rentable(d *jobs.Description, zone string) bool {
+	for i := range f.types {
+		t := &f.types[i]
+		for _, spot := range []bool{true, false} {
+			k := Kind{t.Label, zone, spot}
+			if slices.Contains(t.Zones, zone) && f.rt.Now() >= f.pauses[k] && !f.dark(zone) && f.empty(k).Could(d, zone) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // wait is how long a queue may be before a machine of a type is worth its boot,
 // for tasks that can wait so many seconds.
 func (f *Fleet) wait(patience float64, t *jobs.MachineType, d *jobs.Description) float64 {
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -20,6 +20,8 @@
 	// Progress tells how many tasks of a job are done and running, for
 	// display.
 	Progress func(id string) (done, running int)
+	// Running is the same for a gang, whose tasks may be on machines and wait.
+	Running func(id string) int
 	// Types are the machine types, nil while unknown.
 	Types func() []jobs.MachineType
 
@@ -48,8 +50,8 @@
 
 // NewDesk returns a desk.
 func NewDesk(rt engine.Runtime, led *ledger.Client, cat *Catalog, set *settings.Settings, log *slog.Logger) *Desk {
-	return &Desk{rt: rt, led: led, cat: cat, set: set, log: log, most: set.Deployment.State.TxnOps, pending: map[string]*creation{},
-		Progress: func(string) (int, int) { return 0, 0 }}
+	return &Desk{rt: rt, led: led, cat: cat, set: set, log: log, most: led.Ops(), pending: map[string]*creation{},
+		Progress: func(string) (int, int) { return 0, 0 }, Running: func(string) int { return 0 }}
 }
 
 func refuse(reply httpwire.Reply, reason string) {
@@ -72,6 +74,9 @@
 	case Cancelled:
 	default:
 		s.Done, s.Running = d.Progress(e.ID)
+		if e.Job != nil && e.Job.Gang() {
+			s.Running = d.Running(e.ID)
+		}
 		s.Phase = "pending"
 		if s.Running > 0 {
 			s.Phase = "running"
@@ -105,8 +110,8 @@
 		refuse(reply, "starting: machine types not known yet")
 		return
 	}
-	if why := jobs.Feasible(job, types, d.set.Deployment.Teams); why != nil {
-		// The job may have been accepted elsewhere when it was feasible.
+	// The job may have been accepted elsewhere, when it was feasible.
+	unlessKnown := func(status int, why string) {
 		d.cat.Check(func(err error) {
 			switch e := d.cat.Get(job.ID); {
 			case e != nil && err == nil:
@@ -114,18 +119,27 @@
 			case err != nil:
 				refuse(reply, "state service not reached")
 			default:
-				reply(422, httpwire.ErrorBody(why.Error()), 0)
+				reply(status, httpwire.ErrorBody(why), 0)
 			}
 		})
+	}
+	if why := jobs.Feasible(job, types, d.set.Deployment.Teams); why != nil {
+		unlessKnown(422, why.Error())
 		return
 	}
 	if c := d.pending[job.ID]; c != nil {
 		c.replies = append(c.replies, reply)
 		return
 	}
-	value, err := json.Marshal(Record{At: d.rt.Wall().UnixMilli(), Job: job})
-	if err != nil || float64(len(value)) > d.set.Deployment.State.ValueKB*1024 {
-		reply(400, httpwire.ErrorBody("description too large"), 0)
+	r := Record{At: d.rt.Wall().UnixMilli(), Job: job}
+	value, err := json.Marshal(r)
+	if err == nil && len(value) > d.led.ValueBytes() {
+		// Of a long list of machine types those that there are say the same.
+		job.Known(types)
+		value, err = json.Marshal(r)
+	}
+	if err != nil || len(value) > d.led.ValueBytes() {
+		unlessKnown(400, "description too large")
 		return
 	}
 	c := &creation{id: job.ID, value: value, expires: d.rt.Now() + tuning.CreateTimeout, replies: []httpwire.Reply{reply}}
@@ -175,7 +189,7 @@
 		d.flights--
 		switch r.Outcome {
 		case ledger.OK:
-			d.most = min(2*d.most, d.set.Deployment.State.TxnOps)
+			d.most = min(2*d.most, d.led.Ops())
 			for _, c := range batch {
 				d.cat.Learn(c.id, c.value, r.Epoch)
 				d.finish(c, func(reply httpwire.Reply) {
@@ -211,6 +225,12 @@
 			})
 			return
 		case ledger.Invalid:
+			// Found too large: one by one next. What is too large alone is looked
+			// at again, by the limits now known, when it is submitted again.
+			if d.most = 1; len(batch) > 1 {
+				d.queue = append(batch, d.queue...)
+				break
+			}
 			for _, c := range batch {
 				d.finish(c, func(reply httpwire.Reply) { refuse(reply, "state service refused the record") })
 			}
@@ -275,6 +295,12 @@
 		r := e.Record
 		r.Phase = Cancelled
 		value, err := json.Marshal(r)
+		if err == nil && len(value) > d.led.ValueBytes() && r.Job != nil {
+			// Stored when values could be larger. What a cancelled job still needs
+			// is what its tasks take of the machines that have them.
+			r.Job = r.Job.Bare()
+			value, err = json.Marshal(r)
+		}
 		if err != nil {
 			reply(500, httpwire.ErrorBody("record does not encode"), 0)
 			return
@@ -285,7 +311,7 @@
 				case ledger.OK:
 					d.cat.Learn(id, value, res.Epoch)
 					d.tell(reply, d.cat.Get(id))
-				case ledger.Conflict:
+				case ledger.Conflict, ledger.Invalid:
 					d.cancel(id, reply, try+1)
 				case ledger.Refused:
 					d.rt.After(d.led.Backoff(try), func() { d.cancel(id, reply, try+1) })
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -62,10 +62,27 @@
 // Service tells whether the tasks run until the job is cancelled.
 func (d *Description) Service() bool { return d.Shape == "daemon" }
 
-// Gang tells whether all tasks must run at the same time. The protocol's text
-// does not describe such jobs; see docs/questions.md.
+// Gang tells whether all tasks run at the same time or none does.
 func (d *Description) Gang() bool { return d.Shape == "gang" }
 
+// Known leaves those of the allowed machine types that there are.
+func (d *Description) Known(types []MachineType) {
+	if d.Builds != nil {
+		d.Builds = slices.DeleteFunc(slices.Clone(d.Builds), func(label string) bool {
+			return !slices.ContainsFunc(types, func(t MachineType) bool { return t.Label == label })
+		})
+		slices.Sort(d.Builds)
+		d.Builds = slices.Compact(d.Builds)
+	}
+}
+
+// Bare is the job without what only matters for a start.
+func (d *Description) Bare() *Description {
+	b := *d
+	b.Class, b.Image, b.Builds = "", "", nil
+	return &b
+}
+
 // MaxTasks is the largest number of tasks of a job (PROTOCOL).
 const MaxTasks = 100000
 
--- /dev/null
+++ b/internal/lead/gang.go
@@ -0,0 +1,221 @@
+package lead
+
+import (
+	"time"
+
+	"lemonmoor/internal/fleet"
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// A gang is handed out whole, to one block: where there is room for all of it,
+// else where machines boot for it, else, after a while, to a block whose owner
+// collects the room. The zone of one that must stay in one is fixed with that,
+// and anew if it comes back, when nothing of it is on a machine.
+
+// demands tells how many of n tasks, from the next to hand out on, must go to
+// each of a job's zones; "" for any.
+func (p *plan) demands(zones []string, n int) map[string]int {
+	of := map[string]int{}
+	for k := range n {
+		of[work.ZoneOf(zones, p.nth(k))]++
+	}
+	return of
+}
+
+// room counts the tasks of a job for which a block's machines have room.
+func (b *board) room(p *plan, zone string, block int, booting bool) int {
+	n := 0
+	for _, s := range b.racks {
+		if s.booting == booting && s.block == block && s.kind.Could(p.desc, zone) {
+			for i := range s.rooms {
+				n += s.rooms[i].fit(p.desc)
+			}
+		}
+	}
+	return n
+}
+
+// holds tells whether a block has room for all that is demanded, on machines
+// that are up or, if asked, that boot.
+func (b *board) holds(p *plan, demands map[string]int, block int, booting bool) bool {
+	for zone, n := range demands {
+		room := b.room(p, zone, block, false)
+		if booting && room < n {
+			room += b.room(p, zone, block, true)
+		}
+		if room < n {
+			return false
+		}
+	}
+	return true
+}
+
+// hold takes that room.
+func (b *board) hold(p *plan, demands map[string]int, block int) {
+	none := func(int, int) {}
+	for zone, n := range demands {
+		n -= b.take(p, zone, block, false, n, none)
+		b.take(p, zone, block, true, n, none)
+	}
+}
+
+// choices lists the zones that a gang's tasks may be fixed to.
+func (l *Leader) choices(p *plan) [][]string {
+	if !p.desc.OneZone {
+		return [][]string{p.zones}
+	}
+	var list [][]string
+	for _, zone := range l.fleet.AllZones(p.desc) {
+		list = append(list, []string{zone})
+	}
+	return list
+}
+
+// find looks for zones and a block with room for all of a gang, n tasks.
+func (l *Leader) find(b *board, p *plan, n int, booting bool) (zones []string, block int, ok bool) {
+	choices := l.choices(p)
+	for _, block := range b.order(l.home(p)) {
+		for _, zones := range choices {
+			if b.holds(p, p.demands(zones, n), block, booting) {
+				return zones, block, true
+			}
+		}
+	}
+	return nil, -1, false
+}
+
+// placeGang hands a gang out if there is a place for all of it.
+func (l *Leader) placeGang(b *board, p *plan, u *usage, batches []*batch, need func(*plan, string, int)) []*batch {
+	n := p.left()
+	give := func(block int) []*batch {
+		for p.left() > 0 {
+			batches = l.give(batches, p, block, u)
+		}
+		return batches
+	}
+	if p.open > 0 {
+		// A hand-out of several records that was cut short: the rest follows. If
+		// it is coming back instead, the rest is not sent after it.
+		now := l.rt.Now()
+		if len(p.back) > 0 && (p.torn == 0 || now-p.torn < tuning.GangTorn) {
+			if p.torn == 0 {
+				p.torn = now
+			}
+			return batches
+		}
+		for _, r := range l.store.OfJob(p.e.ID) {
+			for _, m := range r.Marks {
+				if m.State == work.Waiting || m.State == work.Placed {
+					return give(r.Block)
+				}
+			}
+		}
+		return batches
+	}
+	p.torn = 0
+	for _, booting := range []bool{false, true} {
+		if zones, block, ok := l.find(b, p, n, booting); ok {
+			p.zones = zones
+			b.hold(p, p.demands(zones, n), block)
+			return give(block)
+		}
+	}
+	age := time.Duration(l.rt.Wall().UnixMilli()-p.e.At) * time.Millisecond
+	if age > tuning.GangHold {
+		if zones, block, ok := l.couldHold(p, n); ok {
+			p.zones = zones
+			b.queued[block] += float64(n) * p.desc.CPUs
+			for zone, k := range p.demands(zones, n) {
+				need(p, zone, k)
+			}
+			return give(block)
+		}
+	}
+	// Machines are asked for in a zone where some can be had.
+	zones := p.zones
+	if choices := l.choices(p); p.desc.OneZone && len(choices) > 0 {
+		zones = choices[0]
+		for _, c := range choices {
+			if l.fleet.Rentable(p.desc, c[0]) {
+				zones = c
+				break
+			}
+		}
+	}
+	for zone, k := range p.demands(zones, n) {
+		need(p, zone, k)
+	}
+	return batches
+}
+
+// couldHold finds zones and a block whose machines would hold a gang if they
+// were empty: its owner collects the room.
+func (l *Leader) couldHold(p *plan, n int) (zones []string, block int, ok bool) {
+	type place struct {
+		zone  string
+		block int
+	}
+	sum := map[place]int{}
+	l.fleet.Rooms(func(r *fleet.Room) {
+		if !r.Booting && r.Could(p.desc, "") {
+			k := (&room{r.Type.CPUs, r.Type.Cards, r.Type.MemoryGB}).fit(p.desc)
+			sum[place{r.Zone, r.Block}] += k
+			sum[place{"", r.Block}] += k
+		}
+	})
+	most := 0
+	for _, choice := range l.choices(p) {
+		for b := range l.set.Blocks() {
+			fits, least := true, 0
+			for zone, k := range p.demands(choice, n) {
+				have := sum[place{zone, b}]
+				fits = fits && have >= k
+				least += have
+			}
+			if fits && least > most {
+				zones, block, ok, most = choice, b, true, least
+			}
+		}
+	}
+	return zones, block, ok
+}
+
+// queuedGang looks after a gang that waits in a block: it takes the room there
+// is, is called back if another place has room for all of it, or is rented for.
+func (l *Leader) queuedGang(b *board, p *plan, need func(*plan, string, int)) {
+	for block, n := range p.waiting {
+		if n == 0 {
+			continue
+		}
+		demands := map[string]int{}
+		if len(p.zones) <= 1 {
+			demands[work.ZoneOf(p.zones, 0)] = n
+		} else {
+			for _, q := range l.queues(p) {
+				demands[q.zone] = q.number
+			}
+		}
+		whole := n == p.desc.Tasks
+		switch {
+		case b.holds(p, demands, block, false):
+			b.hold(p, demands, block)
+			continue
+		case whole:
+			if _, other, ok := l.find(b, &plan{e: p.e, desc: p.desc, zones: p.zones}, n, false); ok && other != block || ok && p.desc.OneZone {
+				if l.recalls[block] == nil {
+					l.recalls[block] = map[string]int{}
+				}
+				l.recalls[block][p.e.ID] = n
+				continue
+			}
+		}
+		if b.holds(p, demands, block, true) {
+			b.hold(p, demands, block)
+			continue
+		}
+		for zone, k := range demands {
+			need(p, zone, k)
+		}
+	}
+}
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -229,6 +229,10 @@
 		if p.cancelled {
 			continue
 		}
+		if p.desc.Gang() {
+			l.queuedGang(board, p, need)
+			continue
+		}
 		for _, q := range l.queues(p) {
 			n := q.number - board.take(p, q.zone, q.block, false, q.number, func(int, int) {})
 			if n == 0 {
@@ -253,7 +257,7 @@
 			held(p, p.left())
 			continue
 		}
-		if p.zones == nil && (p.desc.OneZone || p.desc.Spread) {
+		if p.zones == nil && (p.desc.Spread || (p.desc.OneZone && !p.desc.Gang())) {
 			// A leader that does not know the machine types yet must not fix
 			// "any zone" for a job that may not have it.
 			p.zones = l.fleet.Zones(p.desc)
@@ -277,7 +281,11 @@
 		if n <= 0 {
 			continue
 		}
-		batches = l.place(board, p, u, n, batches, need)
+		if p.desc.Gang() {
+			batches = l.placeGang(board, p, u, batches, need)
+		} else {
+			batches = l.place(board, p, u, n, batches, need)
+		}
 	}
 	l.fleet.Want(unmet)
 	if len(batches) == 0 {
@@ -411,6 +419,7 @@
 	block   int
 	tasks   []int
 	retried int
+	bytes   int // what its record takes, at most
 }
 
 // recallFor asks a block to give waiting tasks back when others have open
@@ -486,14 +495,25 @@
 	}
 	u.cpus += p.desc.CPUs // until the batch is counted
 	u.cards += p.desc.Cards
+	cost := func(b *batch) int {
+		switch {
+		case retried > 0:
+			return tuning.RetriedBytes
+		case b != nil && b.tasks[len(b.tasks)-1]+1 == i:
+			return 0
+		}
+		return tuning.FreshBytes
+	}
 	for k := len(batches) - 1; k >= 0 && batches[k].plan == p; k-- {
-		if b := batches[k]; b.block == block && len(b.tasks) < tuning.ChunkTasks && b.retried+retried <= tuning.RetriedTasks {
+		if b := batches[k]; b.block == block && len(b.tasks) < tuning.ChunkTasks && b.retried+retried <= tuning.RetriedTasks &&
+			b.bytes+cost(b) <= l.led.ValueBytes()-tuning.RecordBytes {
+			b.bytes += cost(b)
 			b.tasks = append(b.tasks, i)
 			b.retried += retried
 			return batches
 		}
 	}
-	return append(batches, &batch{p, block, []int{i}, retried})
+	return append(batches, &batch{p, block, []int{i}, retried, cost(nil)})
 }
 
 // takeBack undoes give.
@@ -509,7 +529,7 @@
 		u.cpus -= float64(len(b.tasks)) * b.plan.desc.CPUs
 		u.cards -= float64(len(b.tasks)) * b.plan.desc.Cards
 	}
-	most := min(l.set.Deployment.State.TxnOps, max(1, int(l.set.Deployment.State.WriteRPS*tuning.WriteShare)))
+	most := min(l.led.Ops(), max(1, int(l.set.Deployment.State.WriteRPS*tuning.WriteShare*l.led.Rate())))
 	if len(batches) > most {
 		for _, b := range batches[most:] {
 			l.takeBack(b)
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -38,8 +38,9 @@
 	done      int
 	waiting   []int // of those, in the blocks' queues
 	ending    bool
-	starved   bool // waits for its first task for too long
-	missed    int  // aims that it cannot meet any more
+	starved   bool          // waits for its first task for too long
+	missed    int           // aims that it cannot meet any more
+	torn      time.Duration // a gang: since when only a part of it has come back
 }
 
 // left tells how many tasks are not handed out.
@@ -191,6 +192,9 @@
 	})
 	for _, p := range l.plans {
 		l.givenBack(p)
+		if p.desc.Gang() && p.open == 0 && p.done == 0 {
+			p.zones = nil // all of it is off its machines: it may go elsewhere
+		}
 	}
 	for _, p := range l.plans {
 		l.over(p)
@@ -465,7 +469,7 @@
 	var guards []ledger.Guard
 	var apply []ledger.Change
 	var ended []*plan
-	most := l.set.Deployment.State.TxnOps
+	most := l.led.Ops()
 	rest := l.ends[:0:0]
 	for n, p := range l.ends {
 		if l.plans[p.e.ID] != p {
@@ -593,7 +597,7 @@
 	l.swept = now
 	var apply []ledger.Change
 	state := &l.set.Deployment.State
-	most := min(state.TxnOps, max(1, int(state.WriteRPS*tuning.SweepShare*tuning.SweepEvery.Seconds())))
+	most := min(l.led.Ops(), max(1, int(state.WriteRPS*l.led.Rate()*tuning.SweepShare*tuning.SweepEvery.Seconds())))
 	for len(l.stale) > 0 && len(apply) < most {
 		key := l.stale[0]
 		l.stale = l.stale[1:]
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"lemonmoor/internal/engine"
@@ -15,6 +16,9 @@
 	"lemonmoor/internal/tuning"
 )
 
+// noLease is how the service says that a set names a lease that has ended.
+const noLease = "no such lease"
+
 // Outcome is what is known of a request to the state service.
 type Outcome int
 
@@ -29,7 +33,8 @@
 	Unknown
 	// Gone: the lease or the watched history no longer exists.
 	Gone
-	// Invalid: the service calls the request malformed.
+	// Invalid: the service calls the request malformed, too large or without a
+	// lease. It was surely not carried out.
 	Invalid
 )
 
@@ -72,11 +77,63 @@
 	pace       time.Duration // what an answer takes lately
 	// CheckEvery is the least time between two freshness checks of a copy.
 	CheckEvery time.Duration
+	limits     Limits
+	rate       float64       // part of the changes a second that is used
+	rated      time.Duration // when that was last looked at
+	pressed    time.Duration // when it last gave way
+}
+
+// Limits are what the state service allows.
+type Limits struct {
+	Ops   int     // changes in a commit
+	Value int     // bytes in a value
+	Fall  float64 // part of the changes a second that may be left later
+}
+
+// SetLimits tells what the service allows, now and later.
+func (c *Client) SetLimits(l Limits) { c.limits = l }
+
+// Ops is the most changes in a commit.
+func (c *Client) Ops() int { return max(1, c.limits.Ops) }
+
+// ValueBytes is the most that a value may hold.
+func (c *Client) ValueBytes() int { return max(tuning.LeastValue, c.limits.Value) }
+
+// Rate is the part of the changes a second that this node may use: it gives way
+// while the service refuses some, where its limits are to fall.
+func (c *Client) Rate() float64 {
+	now := c.rt.Now()
+	c.rate = min(1, c.rate+tuning.RateRise*(now-c.rated).Seconds())
+	c.rated = now
+	return c.rate
+}
+
+// press takes note of a refusal for the changes a second.
+func (c *Client) press() {
+	if now := c.rt.Now(); c.limits.Fall < 1 && now-c.pressed >= tuning.RateStep {
+		c.pressed = now
+		c.rate = max(c.limits.Fall*tuning.RateFall, c.Rate()*tuning.RateFall)
+	}
+}
+
+// shrink takes note of a commit that the service finds too large: its limits
+// are not what the settings say. Sent again as it was, it would fail for ever.
+func (c *Client) shrink(apply []Change) {
+	size := 0
+	for _, a := range apply {
+		size = max(size, len(a.Value))
+	}
+	was := c.limits
+	c.limits.Ops = max(1, min(c.limits.Ops, len(apply)/2))
+	c.limits.Value = max(tuning.LeastValue, min(c.limits.Value, size/2))
+	if was != c.limits {
+		c.log.Warn("the state service takes less than the settings say", "changes", c.limits.Ops, "bytes", c.limits.Value)
+	}
 }
 
 // New returns a client of the state service at addr.
 func New(rt engine.Runtime, addr string, log *slog.Logger) *Client {
-	return &Client{rt: rt, addr: addr, log: log, CheckEvery: tuning.CheckEvery}
+	return &Client{rt: rt, addr: addr, log: log, CheckEvery: tuning.CheckEvery, rate: 1, limits: Limits{Ops: 1, Value: tuning.PageBytes, Fall: 1}}
 }
 
 // call sends one request and sorts the ways it can end.
@@ -113,6 +170,9 @@
 				out = Conflict
 			case 429, 503:
 				c.log.Debug("state service refuses", "target", target, "status", ans.Status)
+				if ans.Status == 429 && target == "/commit" {
+					c.press()
+				}
 				fn(Refused, ans.Body)
 				return
 			case 404, 410:
@@ -161,6 +221,9 @@
 				out = Unknown
 			}
 		}
+		if out == Invalid && !strings.Contains(string(raw), noLease) {
+			c.shrink(apply)
+		}
 		fn(Result{out, reply.Epoch, reply.Failed})
 	})
 }
--- a/internal/ledger/office.go
+++ b/internal/ledger/office.go
@@ -257,8 +257,8 @@
 			apply = append(apply, Change{Set: key, Value: o.value(holder{Node: o.node, Nonce: o.nonce}), Permit: o.permit})
 		}
 	}
-	if len(apply) > 0 {
-		o.commit("retake", guards, apply)
+	if n := min(len(apply), o.led.Ops()); n > 0 {
+		o.commit("retake", guards[:n], apply[:n])
 	}
 }
 
@@ -316,6 +316,7 @@
 	if len(free) == 0 {
 		return
 	}
+	free = free[:min(len(free), o.led.Ops())]
 	guards := []Guard{{LeadKey, o.lead}}
 	var apply []Change
 	for _, b := range free {
@@ -356,12 +357,17 @@
 	want := holder{o.node, o.nonce, o.permit, true}
 	var guards []Guard
 	apply := []Change{{Set: nodePrefix + o.node, Value: o.value(want), Permit: o.permit}}
+	o.log.Info("giving up blocks: no worker reaches this node")
+	purpose := "give up"
 	for b, token := range o.held {
+		if len(apply) == o.led.Ops() {
+			o.commit(purpose, guards, apply)
+			purpose, guards, apply = "give up "+strconv.Itoa(b), nil, nil
+		}
 		guards = append(guards, Guard{BlockKey(b), token})
 		apply = append(apply, Change{Remove: BlockKey(b)})
 	}
-	o.log.Info("giving up blocks: no worker reaches this node")
-	o.commit("give up", guards, apply)
+	o.commit(purpose, guards, apply)
 }
 
 // renew keeps the grant alive, or asks for one. Validity counts from before
--- /dev/null
+++ b/internal/placement/gang.go
@@ -0,0 +1,227 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"lemonmoor/internal/agents"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/work"
+)
+
+// A gang is one unit of the policy: all its tasks that want a machine are placed
+// in one round or none is. It waits as a unit of the extra queue, since it may
+// take several machines, and goes first among the work of its priority: of the
+// machines with room, those that cache its image come first, and few of them.
+
+// gang is the tasks of a job that want machines together.
+type gang struct {
+	job   *work.Job
+	tasks []*work.Task // ascending
+}
+
+// gather takes in a job whose tasks run together.
+func (p *Planner) gather(j *work.Job, now time.Duration) {
+	if !slices.Contains(p.gangs, j) {
+		p.gangs = append(p.gangs, j)
+		j.Gang.Enqueued = now
+	}
+}
+
+// muster finds the gangs that want machines now.
+func (p *Planner) muster(r *round) {
+	p.gangs = slices.DeleteFunc(p.gangs, func(j *work.Job) bool {
+		for _, t := range j.Tasks {
+			if t.State == work.Waiting {
+				return j.Cancelled
+			}
+		}
+		return true
+	})
+	for _, j := range p.gangs {
+		tasks := j.Missing()
+		if len(tasks) == 0 || slices.ContainsFunc(tasks, func(t *work.Task) bool { return !due(t, r.now) }) {
+			continue
+		}
+		j.Missed = p.Missed(j, float64(r.wall-j.Submitted)/1000)
+		slices.SortFunc(tasks, func(a, b *work.Task) int { return cmp.Compare(a.Index, b.Index) })
+		r.gangs = append(r.gangs, gang{j, tasks})
+	}
+	slices.SortFunc(r.gangs, func(a, b gang) int { return compare(a.tasks[0], b.tasks[0]) })
+}
+
+// enter places the gangs of a priority for which there is room.
+func (p *Planner) enter(r *round, prio jobs.Priority) {
+	for i := range r.gangs {
+		g := &r.gangs[i]
+		if g.tasks == nil || g.job.Desc.Priority() != prio {
+			continue
+		}
+		p.seat(r, g, func(h *agents.Host) bool { return r.kept[h] <= prio })
+	}
+}
+
+// seat places a gang on machines with room, all of it or nothing.
+func (p *Planner) seat(r *round, g *gang, usable func(*agents.Host) bool) bool {
+	hosts := p.fit(r.free, g.tasks, usable, space)
+	if hosts == nil {
+		return false
+	}
+	for i, t := range g.tasks {
+		p.Place(t, hosts[i])
+	}
+	g.tasks = nil
+	return true
+}
+
+// space tells how many tasks of a job a machine has room for.
+func space(t *work.Task, h *agents.Host) int {
+	cpus, cards, memory := h.Free()
+	return number(t, cpus, cards, memory)
+}
+
+// whole is the same for the machine if it were empty.
+func whole(t *work.Task, h *agents.Host) int {
+	if h.Type == nil {
+		return 0
+	}
+	return number(t, h.Type.CPUs, h.Type.Cards, h.Type.MemoryGB)
+}
+
+func number(t *work.Task, cpus, cards, memory float64) int {
+	n := math.MaxInt32
+	d := t.Job.Desc
+	for _, x := range [...]struct{ need, left float64 }{{d.CPUs, cpus}, {d.Cards, cards}, {d.MemoryGB, memory}} {
+		if x.need > 0 {
+			n = min(n, int(math.Floor((x.left+slack)/x.need)))
+		}
+	}
+	return max(n, 0)
+}
+
+// barred tells whether a task may not go to a machine.
+func barred(t *work.Task, h *agents.Host) bool {
+	return t.Avoid == h.ID || slices.Contains(t.Tried, h.ID) || !Allowed(t, h)
+}
+
+// fit finds a machine for each task, nil if there are not enough: near ones
+// first, of those the one that just takes all that are left, else the one that
+// takes the most. Tasks on few machines have like speeds, and a gang runs at that
+// of its slowest machine.
+func (p *Planner) fit(hosts []*agents.Host, tasks []*work.Task, usable func(*agents.Host) bool, room func(*work.Task, *agents.Host) int) []*agents.Host {
+	image := tasks[0].Job.Desc.Image
+	left := map[*agents.Host]int{}
+	near := map[*agents.Host]int{}
+	var open []*agents.Host
+	for _, h := range hosts {
+		if n := room(tasks[0], h); n > 0 && usable(h) {
+			left[h], near[h] = n, nearness(h, image)
+			open = append(open, h)
+		}
+	}
+	found := make([]*agents.Host, len(tasks))
+	for zone, todo := range byZone(tasks) {
+		for len(todo) > 0 {
+			var best *agents.Host
+			most := 0 // that best can take of them
+			for _, h := range open {
+				if left[h] == 0 || (zone != "" && h.Zone != zone) {
+					continue
+				}
+				n := 0
+				for _, i := range todo {
+					if n < left[h] && !barred(tasks[i], h) {
+						n++
+					}
+				}
+				if n == 0 {
+					continue
+				}
+				better := best == nil
+				if !better && near[h] != near[best] {
+					better = near[h] < near[best]
+				} else if !better && n != most {
+					better = n > most
+				} else if !better {
+					better = left[h] < left[best]
+				}
+				if better {
+					best, most = h, n
+				}
+			}
+			if best == nil {
+				return nil
+			}
+			todo = slices.DeleteFunc(todo, func(i int) bool {
+				if left[best] == 0 || barred(tasks[i], best) {
+					return false
+				}
+				found[i] = best
+				left[best]--
+				return true
+			})
+		}
+	}
+	return found
+}
+
+// byZone sorts tasks, by their place in the list, by the zones fixed for them.
+func byZone(tasks []*work.Task) map[string][]int {
+	of := map[string][]int{}
+	for i, t := range tasks {
+		of[t.Zone] = append(of[t.Zone], i)
+	}
+	return of
+}
+
+// collect serves the gangs that have waited past the bound: where there is no
+// room for one, machines that would hold all of it are kept from other work of
+// its priority or below (over: of any below that) until they do. A gang for which
+// not all can be kept keeps none, so that no two wait for each other's places.
+func (p *Planner) collect(r *round, over jobs.Priority, want func(*gang) bool) {
+	for i := range r.gangs {
+		g := &r.gangs[i]
+		if g.tasks == nil || !want(g) {
+			continue
+		}
+		below := max(over, g.job.Desc.Priority()+1)
+		free := func(h *agents.Host) bool { _, taken := r.kept[h]; return !taken }
+		if p.seat(r, g, free) {
+			continue
+		}
+		// Those where most is free come first: their turn is soonest.
+		open := slices.Clone(r.open)
+		slices.SortStableFunc(open, func(a, b *agents.Host) int {
+			return cmp.Compare(space(g.tasks[0], b), space(g.tasks[0], a))
+		})
+		for _, h := range p.narrow(open, g.tasks, free) {
+			r.kept[h] = below
+		}
+	}
+}
+
+// narrow finds machines that would hold all tasks if they were empty, in the
+// order given; none if there are not enough.
+func (p *Planner) narrow(hosts []*agents.Host, tasks []*work.Task, usable func(*agents.Host) bool) []*agents.Host {
+	var kept []*agents.Host
+	for zone, todo := range byZone(tasks) {
+		left := len(todo)
+		for _, h := range hosts {
+			if left <= 0 {
+				break
+			}
+			t := tasks[todo[0]]
+			if !usable(h) || barred(t, h) || (zone != "" && h.Zone != zone) || slices.Contains(kept, h) || !could(t, h) {
+				continue
+			}
+			kept = append(kept, h)
+			left -= whole(t, h)
+		}
+		if left > 0 {
+			return nil
+		}
+	}
+	return kept
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,6 +33,7 @@
 	arrivals []*work.Task
 	queues   map[string][]*work.Task // by machine
 	extra    []*work.Task
+	gangs    []*work.Job // that want machines, as units; see gang.go
 }
 
 // New returns a planner with empty queues.
@@ -42,7 +43,7 @@
 
 // Reset empties the queues.
 func (p *Planner) Reset() {
-	p.arrivals, p.extra = nil, nil
+	p.arrivals, p.extra, p.gangs = nil, nil, nil
 	clear(p.queues)
 }
 
@@ -50,6 +51,10 @@
 func (p *Planner) Arrive(t *work.Task, now time.Duration) {
 	t.Queued = false
 	t.Enqueued = now
+	if t.Job.Gang != nil {
+		p.gather(t.Job, now)
+		return
+	}
 	p.arrivals = append(p.arrivals, t)
 }
 
@@ -115,6 +120,7 @@
 	waiting []*work.Task
 	wall    int64                          // time of day, ms
 	kept    map[*agents.Host]jobs.Priority // below these, nothing is placed there
+	gangs   []gang                         // that want machines now, in the jobs' order
 }
 
 // Round places what can be placed on the machines given.
@@ -135,6 +141,7 @@
 	slices.SortStableFunc(r.free, tighter)
 	p.clean(r)
 	p.reorder(r)
+	p.muster(r)
 	p.pull(r)
 	p.arrive(r)
 }
@@ -228,6 +235,7 @@
 				some = append(some, t)
 			}
 		}
+		p.enter(r, prio)
 		if len(some) == 0 {
 			continue
 		}
@@ -363,11 +371,13 @@
 			r.kept[best] = over
 		}
 	}
+	p.collect(r, jobs.Production+1, func(g *gang) bool { return r.starved(g.job) })
 	for _, t := range r.waiting {
 		if live(t) && due(t, r.now) && t.Job != skip && r.starved(t.Job) {
 			serve(t, jobs.Production+1)
 		}
 	}
+	p.collect(r, 0, func(g *gang) bool { return r.now-g.job.Gang.Enqueued >= p.WaitBound && !r.starved(g.job) })
 	for _, t := range p.extra {
 		if live(t) && r.now-t.Enqueued >= p.WaitBound && due(t, r.now) && t.Job != skip && !r.starved(t.Job) {
 			serve(t, t.Job.Desc.Priority()+1)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,14 @@
 	Times   float64 `json:"times"`
 }
 
+// NextLimits are the limits that the state service will have later.
+type NextLimits struct {
+	RPS      *float64 `json:"rps"`
+	WriteRPS *float64 `json:"write_rps"`
+	ValueKB  *float64 `json:"value_kb"`
+	TxnOps   *int     `json:"txn_ops"`
+}
+
 // Settings is the platform's file.
 type Settings struct {
 	Node     string `json:"node"`
@@ -59,15 +67,20 @@
 		Teams       []Team      `json:"teams"`
 		Objectives  []Objective `json:"objectives"`
 		Workers     struct {
-			ReportS float64 `json:"report_s"`
-			LeaseS  float64 `json:"lease_s"`
-			CancelS float64 `json:"cancel_s"`
+			ReportS   float64 `json:"report_s"`
+			LeaseS    float64 `json:"lease_s"`
+			CancelS   float64 `json:"cancel_s"`
+			GangWaitS float64 `json:"gang_wait_s"`
+			GangPeerS float64 `json:"gang_peer_s"`
 		} `json:"workers"`
 		State struct {
 			RPS      float64 `json:"rps"`
 			WriteRPS float64 `json:"write_rps"`
 			ValueKB  float64 `json:"value_kb"`
 			TxnOps   int     `json:"txn_ops"`
+			// Next is what the service will allow from some moment on; nil, in
+			// whole or in part, means no change.
+			Next *NextLimits `json:"next"`
 		} `json:"state"`
 		Cloud struct {
 			RPS      float64 `json:"rps"`
@@ -205,8 +218,25 @@
 			return field(f.name, "missing or not above 0")
 		}
 	}
-	if d.State.TxnOps < 3 {
-		return field("deployment.state.txn_ops", "below 3, which a takeover needs")
+	if n := d.State.Next; n != nil {
+		ops := 1.0
+		if n.TxnOps != nil {
+			ops = float64(*n.TxnOps)
+		}
+		for _, f := range []struct {
+			name  string
+			value *float64
+			least float64
+		}{
+			{"rps", n.RPS, 0}, {"write_rps", n.WriteRPS, 0}, {"txn_ops", &ops, 0}, {"value_kb", n.ValueKB, tuning.LeastValueKB},
+		} {
+			if f.value != nil && (*f.value <= f.least || math.IsInf(*f.value, 0)) {
+				return field("deployment.state.next."+f.name, fmt.Sprintf("not above %g", f.least))
+			}
+		}
+	}
+	if w := &d.Workers; w.GangWaitS < 0 || w.GangPeerS < 0 {
+		return field("deployment.workers", "gang_wait_s or gang_peer_s is negative")
 	}
 	if d.Workers.ReportS >= d.Workers.LeaseS {
 		return field("deployment.workers.report_s", "not below lease_s")
@@ -289,6 +319,52 @@
 // WorkerLease is how long a worker goes on without an answer.
 func (s *Settings) WorkerLease() time.Duration { return seconds(s.Deployment.Workers.LeaseS) }
 
+// GangWait is how long a task of a gang waits for the others before it gives up.
+func (s *Settings) GangWait() time.Duration {
+	return seconds(orElse(s.Deployment.Workers.GangWaitS, tuning.GangWait.Seconds()))
+}
+
+// GangPeer is how soon the tasks of a gang notice that one of them is gone, and
+// within which all must be told to save.
+func (s *Settings) GangPeer() time.Duration {
+	return seconds(orElse(s.Deployment.Workers.GangPeerS, tuning.GangPeer.Seconds()))
+}
+
+func orElse(v, other float64) float64 {
+	if v > 0 {
+		return v
+	}
+	return other
+}
+
+// ValueBytes is the most that a value in the state service may hold, now and
+// after its limits have changed.
+func (s *Settings) ValueBytes() int {
+	kb := s.Deployment.State.ValueKB
+	if n := s.Deployment.State.Next; n != nil && n.ValueKB != nil {
+		kb = min(kb, *n.ValueKB)
+	}
+	return int(kb * 1024 * tuning.ValueShare)
+}
+
+// TxnOps is the most changes in a commit, now and after the limits have changed.
+func (s *Settings) TxnOps() int {
+	ops := s.Deployment.State.TxnOps
+	if n := s.Deployment.State.Next; n != nil && n.TxnOps != nil {
+		ops = min(ops, *n.TxnOps)
+	}
+	return ops
+}
+
+// WriteFall is the part of the changes a second that may be left after the
+// limits have changed, 1 if they will not.
+func (s *Settings) WriteFall() float64 {
+	if n := s.Deployment.State.Next; n != nil && n.WriteRPS != nil {
+		return min(1, *n.WriteRPS/s.Deployment.State.WriteRPS)
+	}
+	return 1
+}
+
 // Hold is how long an owner past its lease may answer reports: lease, hold
 // and the workers' lease together stay below the cancellation limit.
 func (s *Settings) Hold() time.Duration {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -105,14 +105,31 @@
 	// runs; a thousand apart from each other still take less than 6 KB.
 	ChunkTasks = 1000
 	// RetriedTasks is the most tasks in one record that have been handed out
-	// before: each may take 20 bytes, with its last attempt.
+	// before.
 	RetriedTasks = 200
+	// FreshBytes is what a task that does not follow the one before it takes in
+	// a record, RetriedBytes what one with a last attempt does, RecordBytes what
+	// the rest of it does.
+	FreshBytes   = 7
+	RetriedBytes = 30
+	RecordBytes  = 200
 	// PageBytes is the most that a page of a block's log holds. Larger values
 	// are allowed on some sites; they would save few changes and cost every
 	// node the reading.
 	PageBytes = 7 * 1024
 	// ValueShare of the state service's limit for a value is used.
 	ValueShare = 0.9
+	// LeastValueKB is the smallest limit for a value that can be lived with: a
+	// cancelled job and a lease take some 600 bytes.
+	LeastValueKB = 0.75
+	// LeastValue is the same in bytes, after ValueShare.
+	LeastValue = 690
+	// RateFall and RateRise are how the changes a second give way when the
+	// service has refused some, at most once in RateStep, and come back, for
+	// each second: only where the settings say that its limits will fall.
+	RateFall = 0.9
+	RateRise = 0.01
+	RateStep = 500 * time.Millisecond
 	// LogPages is the length of a block's log, in pages, from which on old
 	// pages are emptied. A takeover reads them in one listing.
 	LogPages = 96
@@ -206,6 +223,30 @@
 	SaveMargin = 3 * time.Second
 )
 
+// Gangs.
+const (
+	// GangWait and GangPeer stand in for times that the settings leave out.
+	GangWait = 30 * time.Second
+	GangPeer = 5 * time.Second
+	// GangStep is how many replacements of one task an attempt of its gang can
+	// count: the stored number of a task's attempt is the gang's times this, plus
+	// the replacements, so that it grows with each placement.
+	GangStep = 1024
+	// GangHold is how long a gang for which there is no room waits with the
+	// leader, free for any place, before a block's owner collects room for it.
+	GangHold = 3 * time.Second
+	// GangTorn is how long a gang of which a part is with a block and a part
+	// came back is taken for one that is coming back.
+	GangTorn = 5 * time.Second
+	// GangNotice is what the news that the others have noticed a loss may take
+	// after the time they have for that; then they are halted.
+	GangNotice = 3 * time.Second
+	// GangPause is the first pause of a gang that was never complete; it doubles
+	// up to GangPauseMax, so that it does not spin.
+	GangPause    = 1 * time.Second
+	GangPauseMax = 30 * time.Second
+)
+
 // Placement.
 const (
 	// WaitBound is the wait in the extra queue after which a task goes first
--- /dev/null
+++ b/internal/work/gang.go
@@ -0,0 +1,300 @@
+package work
+
+import (
+	"time"
+
+	"lemonmoor/internal/tuning"
+)
+
+// Gang is what an owner knows of the present attempt of a job whose tasks run at
+// the same time or not at all. The tasks of an attempt share its number, by which
+// they find each other.
+type Gang struct {
+	// Attempt is that number; 0: no task of the gang can be on a machine.
+	Attempt uint64
+	// Started: all its tasks have run, as a report has shown.
+	Started bool
+	// Over: the attempt comes to nothing; nothing of it is launched any more, and
+	// the next one waits until each of its tasks is proven gone. Since: from then.
+	Over  bool
+	Since time.Duration
+	// Saving: it is over because it was told to save.
+	Saving bool
+	// Doubt is since when a task is gone without it being known whether the gang
+	// had started by then, 0 if there is none. Only a later report of one that
+	// waits proves that it had not.
+	Doubt time.Duration
+	// Done: one task is proven done, so all are.
+	Done bool
+	// Short counts the attempts in a row that were never complete.
+	Short int
+	// Enqueued is since when it has waited for machines.
+	Enqueued time.Duration
+}
+
+// Try is the task's attempt as its worker knows it. For a gang it is the
+// gang's; the stored number also counts the replacements within it, so that it
+// grows with each placement. Numbers below the step are of a version that took
+// gangs for arrays.
+func (t *Task) Try() uint64 {
+	if t.Job.Gang == nil || t.Attempt < tuning.GangStep {
+		return t.Attempt
+	}
+	return t.Attempt / tuning.GangStep
+}
+
+// advance gives a task that is to be placed its next number.
+func (t *Task) advance() {
+	g := t.Job.Gang
+	if g == nil {
+		t.Attempt++
+		return
+	}
+	if g.Attempt == 0 {
+		g.Attempt = t.Job.nextTry()
+	}
+	if first := g.Attempt * tuning.GangStep; t.Attempt < first {
+		t.Attempt, t.Tried, t.Unsure = first, nil, false
+	} else {
+		t.Attempt++
+	}
+}
+
+// nextTry is a number that no attempt of the gang has had: the one that the
+// leader has chosen for the parts of a divided gang, or the next.
+func (j *Job) nextTry() uint64 {
+	var next uint64
+	for _, c := range j.Chunks {
+		if c.Try > 0 && c.Open > 0 {
+			return c.Try
+		}
+	}
+	for _, c := range j.Chunks {
+		for _, t := range c.Tasks { // those given back count too
+			next = max(next, t.Try())
+		}
+	}
+	return next + 1
+}
+
+// Replaceable tells whether a lost task may be placed once more within the
+// present attempt. It may not if machines that have had it are not known: on one
+// of them it would be taken for the lost one.
+func (t *Task) Replaceable() bool {
+	first := t.Job.Gang.Attempt * tuning.GangStep
+	return t.Attempt < first || (!t.Unsure && t.Attempt+1 < first+tuning.GangStep)
+}
+
+// Here tells whether the block has all of the gang's tasks, or of the part of
+// a divided gang that the leader has given to it.
+func (j *Job) Here() bool {
+	if len(j.Tasks) == j.Desc.Tasks {
+		return true
+	}
+	n := 0
+	for _, c := range j.Chunks {
+		if c.Open > 0 && c.Try == 0 {
+			return false
+		}
+		if c.Open > 0 {
+			n = max(n, c.Part)
+		}
+	}
+	return n > 0 && len(j.Tasks) == n
+}
+
+// Spent tells whether the attempt that the leader has chosen for a part of a
+// divided gang is over: the part goes back to the leader.
+func (j *Job) Spent() bool {
+	g := j.Gang
+	if g == nil || g.Attempt != 0 || g.Done || j.Cancelled {
+		return false
+	}
+	spent := false
+	for _, c := range j.Chunks {
+		for _, t := range c.Tasks {
+			if t.State == Waiting && c.Try > 0 && t.Attempt >= c.Try*tuning.GangStep {
+				spent = true
+			}
+		}
+	}
+	return spent
+}
+
+// Missing lists the tasks that want machines, all of them at once; none if the
+// gang must not be given any now.
+func (j *Job) Missing() []*Task {
+	g := j.Gang
+	if j.Cancelled || g.Done || g.Over || g.Doubt > 0 || g.Started || !j.Here() || j.Spent() {
+		return nil
+	}
+	var list []*Task
+	for _, t := range j.Tasks {
+		if t.State == Waiting {
+			if g.Attempt > 0 && !t.Replaceable() {
+				return nil
+			}
+			list = append(list, t)
+		}
+	}
+	if g.Attempt == 0 && len(list) < len(j.Tasks) {
+		return nil
+	}
+	return list
+}
+
+// Launchable tells whether a placed task may be launched: of a gang only when
+// the placements of all are durable, so that none is on a machine without it
+// being known where the others go.
+func (t *Task) Launchable() bool {
+	if !t.Durable || t.Sent || t.Job.Cancelled {
+		return false
+	}
+	g := t.Job.Gang
+	if g == nil {
+		return true
+	}
+	if g.Done || g.Over || g.Doubt > 0 || t.Try() != g.Attempt || !t.Job.Here() {
+		return false
+	}
+	for _, o := range t.Job.Tasks {
+		if o.State != Placed || !o.Durable {
+			return false
+		}
+	}
+	return true
+}
+
+// Placing gives a waiting task to a machine; nothing is launched yet.
+func (t *Task) Placing(host string) {
+	t.State, t.Host = Placed, host
+	t.Job.Began = true
+	t.advance()
+	if t.Job.Gang != nil {
+		t.Tried = append(t.Tried, host)
+	}
+	t.Durable, t.Sent, t.Flying, t.Doubt, t.Seen, t.Running, t.Imaged, t.Ran, t.Stopping, t.Told = false, false, false, false, false, false, false, false, false, false
+}
+
+// Take works out what an earlier owner, or an earlier token, has left of the
+// gang. now is the time from which reports count.
+func (j *Job) Take(now time.Duration) {
+	g := j.Gang
+	*g = Gang{Enqueued: now}
+	for _, t := range j.Tasks {
+		g.Done = g.Done || t.State == Done
+		if t.State == Placed {
+			g.Attempt = max(g.Attempt, t.Try())
+		}
+	}
+	if g.Attempt == 0 {
+		return
+	}
+	for _, t := range j.Tasks {
+		switch {
+		case t.State == Placed:
+			g.Started = g.Started || t.Ran
+			t.Tried = []string{t.Host}
+			t.Unsure = t.Attempt%tuning.GangStep > 0
+			if t.Try() != g.Attempt {
+				g.end(now) // of a version that took gangs for arrays
+			}
+		case t.State == Waiting && t.Try() == g.Attempt:
+			g.end(now) // lost, and it is not known from which machines
+		case t.State == Waiting:
+			g.Doubt = now // the hand-out was not finished
+		}
+	}
+	if g.Started && g.Doubt > 0 {
+		g.end(now)
+	}
+}
+
+func (g *Gang) end(now time.Duration) {
+	if !g.Over {
+		g.Over, g.Since = true, now
+	}
+}
+
+// Loss is how a task of a gang came off its machine.
+type Loss int
+
+const (
+	// Unready: it has never waited for the others, so they cannot have started.
+	Unready Loss = iota
+	// Vanished: it is gone, whatever it did before.
+	Vanished
+	// Ended: it has exited, and so will the others.
+	Ended
+)
+
+// Lost takes note that a task is surely off its machine.
+func (j *Job) Lost(t *Task, how Loss, now time.Duration) {
+	g := j.Gang
+	placed := false
+	for _, o := range j.Tasks {
+		placed = placed || o.State == Placed
+	}
+	if !placed {
+		// The attempt is through: the next one may begin.
+		if g.Started {
+			g.Short = 0
+		} else {
+			j.NotBefore = max(j.NotBefore, now+min(tuning.GangPause<<min(g.Short, 10), tuning.GangPauseMax))
+			g.Short++
+		}
+		*g = Gang{Short: g.Short, Done: g.Done, Enqueued: now}
+		return
+	}
+	switch {
+	case g.Over:
+	case g.Started || how == Ended || !t.Replaceable():
+		g.end(now)
+	case how == Vanished && g.Doubt == 0:
+		g.Doubt = now
+	}
+}
+
+// SeenRunning takes note that a task runs: all have been there.
+func (j *Job) SeenRunning(now time.Duration) {
+	g := j.Gang
+	g.Started = true
+	if g.Doubt > 0 {
+		g.end(now)
+	}
+}
+
+// SeenWaiting takes note that a task waits, as a report says that was received
+// after the loss in doubt: what is lost was lost before the start.
+func (j *Job) SeenWaiting(now time.Duration) {
+	g := j.Gang
+	if g.Doubt == 0 || g.Doubt >= now || g.Over {
+		return
+	}
+	g.Doubt = 0
+	for _, t := range j.Tasks {
+		if t.State == Waiting && !t.Replaceable() {
+			g.end(now)
+		}
+	}
+}
+
+// WindUp tells whether a task of an attempt that is over has to be halted now:
+// at once if the gang has not started, else when it has not noticed by itself,
+// or not saved, in the time for that.
+func (j *Job) WindUp(now, peer time.Duration) bool {
+	g := j.Gang
+	wait := peer + tuning.GangNotice
+	switch {
+	case !g.Over || g.Attempt == 0:
+		return false
+	case g.Saving:
+		wait += time.Duration(j.Desc.SaveS * float64(time.Second))
+	case !g.Started:
+		wait = 0
+	}
+	return now-g.Since >= wait
+}
+
+// End winds the present attempt up.
+func (j *Job) End(now time.Duration) { j.Gang.end(now) }
--- a/internal/work/page.go
+++ b/internal/work/page.go
@@ -20,6 +20,7 @@
 type entry struct {
 	Record   string            `json:"c"` // JOB/NUMBER
 	Placed   map[string]string `json:"p,omitempty"`
+	Running  map[string]string `json:"b,omitempty"` // of those, tasks of a gang that have run
 	Waiting  string            `json:"w,omitempty"`
 	Returned string            `json:"r,omitempty"`
 	Done     string            `json:"d,omitempty"`
@@ -78,7 +79,7 @@
 	e.Record = c.Job.Desc.ID + "/" + strconv.Itoa(c.Number)
 	size += overhead + len(e.Record)
 	var waiting, returned, done runsOf
-	placed := map[string]*runsOf{}
+	placed, running := map[string]*runsOf{}, map[string]*runsOf{}
 	for _, t := range tasks {
 		if t.Chunk != c {
 			break
@@ -90,6 +91,9 @@
 				to = &runsOf{}
 				cost = len(t.Host) + 8
 			}
+			if t.Ran {
+				cost += len(t.Host) + 8 + runBytes
+			}
 		case Returned, Dropped:
 			to = &returned
 		case Done:
@@ -103,21 +107,34 @@
 		}
 		if t.State == Placed {
 			placed[t.Host] = to
+			if t.Ran {
+				if running[t.Host] == nil {
+					running[t.Host] = &runsOf{}
+				}
+				running[t.Host].add(t.Index, attempt)
+			}
 		}
 		to.add(t.Index, attempt)
 		size += cost
 		n++
 	}
-	if len(placed) > 0 {
-		e.Placed = make(map[string]string, len(placed))
-		for host, r := range placed {
-			e.Placed[host] = r.String()
-		}
-	}
+	e.Placed, e.Running = texts(placed), texts(running)
 	e.Waiting, e.Returned, e.Done = waiting.String(), returned.String(), done.String()
 	return e, n, size
 }
 
+// texts writes the runs of each machine.
+func texts(of map[string]*runsOf) map[string]string {
+	if len(of) == 0 {
+		return nil
+	}
+	list := make(map[string]string, len(of))
+	for host, r := range of {
+		list[host] = r.String()
+	}
+	return list
+}
+
 // readPage calls fn for each task that a page tells of.
 func readPage(value json.RawMessage, fn func(job string, number, task int, m Mark)) error {
 	var p storedPage
@@ -150,6 +167,9 @@
 		for host, text := range e.Placed {
 			runs(text, Mark{State: Placed, Host: host})
 		}
+		for host, text := range e.Running {
+			runs(text, Mark{State: Placed, Host: host, Running: true})
+		}
 		runs(e.Waiting, Mark{State: Waiting})
 		runs(e.Returned, Mark{State: Returned})
 		runs(e.Done, Mark{State: Done})
--- a/internal/work/record.go
+++ b/internal/work/record.go
@@ -73,12 +73,13 @@
 	State   State
 	Attempt uint64 // the last one used
 	Host    string // of a placed task
+	Running bool   // a placed task of a gang has been seen running
 }
 
 // after tells whether a mark supersedes another of the same task in the same
 // record. Marks only go forward: attempts grow, within an attempt a task is
-// first placed, then off its machine, then given back; done is the end. So the
-// order in which pages are read does not matter, nor does reading one twice.
+// first placed, of a gang then seen running, then off its machine, then given
+// back; done is the end. So the order in which pages are read does not matter, nor does reading one twice.
 func (m Mark) after(o Mark) bool {
 	switch {
 	case o.State == Done:
@@ -87,6 +88,8 @@
 		return true
 	case m.Attempt != o.Attempt:
 		return m.Attempt > o.Attempt
+	case m.State == Placed && o.State == Placed:
+		return m.Running && !o.Running
 	}
 	return rank[m.State] > rank[o.State]
 }
@@ -103,6 +106,10 @@
 	Number int
 	Stamp  uint64
 	Zones  []string // fixed at hand-out for samePlace and spread
+	// Of a gang that is divided among blocks: the attempt that the leader has
+	// chosen for it, and the number of its tasks in this block.
+	Try  uint64
+	Part int
 
 	Index []int // the tasks, ascending
 	Marks []Mark
@@ -144,6 +151,8 @@
 	Index    string   `json:"i"`
 	Last     string   `json:"w,omitempty"` // last attempts
 	Zones    []string `json:"z,omitempty"`
+	Try      uint64   `json:"g,omitempty"`
+	Part     int      `json:"n,omitempty"`
 	Done     string   `json:"d,omitempty"`
 	Returned string   `json:"r,omitempty"`
 	Placed   map[string]struct {
@@ -155,7 +164,7 @@
 
 // Encode writes the value of a record that has just been handed out.
 func (r *Record) Encode() (json.RawMessage, error) {
-	s := storedRecord{Zones: r.Zones}
+	s := storedRecord{Zones: r.Zones, Try: r.Try, Part: r.Part}
 	var index, last runsOf
 	for k, i := range r.Index {
 		index.add(i, usual)
@@ -180,7 +189,7 @@
 	if err := json.Unmarshal(value, &s); err != nil {
 		return nil, fmt.Errorf("work record %s: %w", key, err)
 	}
-	r := &Record{Key: key, Block: block, Job: job, Number: number, Stamp: stamp, Zones: s.Zones}
+	r := &Record{Key: key, Block: block, Job: job, Number: number, Stamp: stamp, Zones: s.Zones, Try: s.Try, Part: s.Part}
 	err = parseRuns(s.Index, jobs.MaxTasks, func(n run) error {
 		if len(r.Index)+n.last-n.first >= tuning.ChunkTasks {
 			return fmt.Errorf("more than %d tasks", tuning.ChunkTasks)
--- a/internal/work/store.go
+++ b/internal/work/store.go
@@ -27,7 +27,7 @@
 }
 
 // sum is what users are shown of a job.
-type sum struct{ done, placed int }
+type sum struct{ done, placed, running int }
 
 // NewStore returns an empty store.
 func NewStore(rt engine.Runtime, led *ledger.Client, log *slog.Logger) *Store {
@@ -151,7 +151,19 @@
 		n.done += sign
 	case Placed:
 		n.placed += sign
+		if m.Running {
+			n.running += sign
+		}
+	}
+}
+
+// Running tells how many tasks of a gang run: placed ones may still wait for
+// each other.
+func (s *Store) Running(job string) int {
+	if n := s.sums[job]; n != nil {
+		return n.running
 	}
+	return 0
 }
 
 // Progress tells how many tasks of a job are done and on machines.
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -33,7 +33,7 @@
 	Page   int
 	Dirty  bool
 	Logged uint64 // the newest commit that has told of it
-	// Attempt is the last one used; attempts are never used twice.
+	// Attempt is the last one used; attempts are never used twice. See Try.
 	Attempt uint64
 	// Host is the machine that has, or may have, the task while it is Placed.
 	Host string
@@ -56,9 +56,17 @@
 	// Seen: listed in a report.
 	Seen     bool
 	Running  bool
+	Imaged   bool          // it has its image: it runs, or waits for its gang
+	Ran      bool          // of a gang: seen running under this attempt; stored
 	Since    time.Duration // when it was first seen running
 	Stopping bool          // a halt has been decided
 	WindDown float64
+	Told     bool // a direct message with the halt has left
+
+	// Of a gang: the machines that have had the task within the attempt, and
+	// whether there are others, not known any more.
+	Tried  []string
+	Unsure bool
 
 	// For the queues.
 	Queued    bool
@@ -71,6 +79,9 @@
 // Ref names a task on the wire.
 func (t *Task) Ref() string { return t.Job.Desc.ID + "/" + strconv.Itoa(t.Index) }
 
+// Stop decides that the task is to be halted, with so many seconds to save.
+func (t *Task) Stop(windDown float64) { t.Stopping, t.WindDown, t.Told = true, windDown, false }
+
 // Job is a job of which a block has tasks.
 type Job struct {
 	Desc      *jobs.Description
@@ -83,6 +94,7 @@
 	Chunks    map[string]*Chunk
 	Errors    int           // failures in a row
 	NotBefore time.Duration // pause after failures
+	Gang      *Gang         // nil if the tasks need not run together
 }
 
 // Before orders jobs: priority, then work within a guarantee, then age.
@@ -113,17 +125,21 @@
 	Tasks  []*Task
 	Zones  []string
 	Open   int // tasks that are neither done nor given back
+	// Try is the attempt that the leader has chosen for a divided gang, Part how
+	// many of its tasks it has given to the block; 0 if it is not divided.
+	Try  uint64
+	Part int
 }
 
 // Load makes an owner's working copy of a record. Every placement in it is one
 // that an earlier token's launch may have carried out.
 func Load(j *Job, r *Record) *Chunk {
-	c := &Chunk{Job: j, Key: r.Key, Number: r.Number, Zones: r.Zones, Tasks: make([]*Task, len(r.Index))}
+	c := &Chunk{Job: j, Key: r.Key, Number: r.Number, Zones: r.Zones, Try: r.Try, Part: r.Part, Tasks: make([]*Task, len(r.Index))}
 	tasks := make([]Task, len(r.Index))
 	for k, i := range r.Index {
 		m := r.Marks[k]
 		t := &tasks[k]
-		*t = Task{Job: j, Chunk: c, Index: i, State: m.State, Attempt: m.Attempt, Host: m.Host, Page: int(r.Pages[k]), Zone: ZoneOf(r.Zones, i)}
+		*t = Task{Job: j, Chunk: c, Index: i, State: m.State, Attempt: m.Attempt, Host: m.Host, Ran: m.Running, Page: int(r.Pages[k]), Zone: ZoneOf(r.Zones, i)}
 		j.Began = j.Began || m.Attempt > 0 || m.State == Done
 		switch m.State {
 		case Done:
