--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -21,6 +21,11 @@
 		length: time.Duration(rapid.IntRange(200, 9000).Draw(t, "length")) * time.Millisecond,
 		spot:   rapid.Bool().Draw(t, "spot"),
 	}
+	if rapid.IntRange(0, 2).Draw(t, "gang") == 0 {
+		j.gang = true
+		j.tasks = rapid.IntRange(1, min(8, int(20/j.cpus))).Draw(t, "mates")
+		j.saveEvery = rapid.SampledFrom([]float64{0, 2}).Draw(t, "save")
+	}
 	switch rapid.IntRange(0, 5).Draw(t, "place") {
 	case 0:
 		j.zone = "b"
@@ -64,7 +69,13 @@
 			at := time.Duration(rapid.IntRange(500, 60000).Draw(t, "fault at")) * time.Millisecond
 			span := time.Duration(rapid.IntRange(300, 20000).Draw(t, "span")) * time.Millisecond
 			which := rapid.IntRange(0, 11).Draw(t, "which")
-			switch rapid.IntRange(0, 8).Draw(t, "kind") {
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 9: // the cloud takes a machine, with a notice
+				w.after(at, func() {
+					if n := len(w.cloud.workers); n > 0 {
+						w.cloud.workers[which%n].notice(time.Duration(which*2) * time.Second)
+					}
+				})
 			case 0:
 				w.after(at, func() { w.nodes[which%3].crash(span / 2) })
 			case 1:
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -47,6 +47,9 @@
 	copies   float64         // of reports of which a copy comes late
 	outage   bool            // of the state service
 	writes   float64         // changes a second that it allows, 0: any number
+	ops      int             // changes in a commit that it allows
+	value    int             // bytes of a value
+	lie      bool            // these limits are not told: breaking them is no fault
 	starts   int
 	finished int
 }
@@ -460,7 +463,10 @@
 			Remove string          `json:"remove"`
 		} `json:"apply"`
 	}
-	if err := json.Unmarshal(body, &t); err != nil || len(t.Apply) > 12 || len(t.Guards) > 48 || len(body) > 64<<10 {
+	if err := json.Unmarshal(body, &t); err != nil || len(t.Apply) > s.w.ops || len(t.Guards) > 4*s.w.ops || len(body) > 64<<10 {
+		if s.w.lie && err == nil {
+			return answer(400, map[string]string{"error": "too many changes in a commit"})
+		}
 		s.w.breaks("the state service was sent a malformed commit: %d changes, %d guards, %d bytes", len(t.Apply), len(t.Guards), len(body))
 		return answer(400, nil)
 	}
@@ -478,7 +484,10 @@
 		if a.Permit != 0 && s.grants[a.Permit] == nil {
 			return answer(400, map[string]string{"error": "no such lease"})
 		}
-		if len(a.Value) > 8<<10 {
+		if len(a.Value) > s.w.value {
+			if s.w.lie {
+				return answer(400, map[string]string{"error": "value too large"})
+			}
 			s.w.breaks("value of %d bytes for %s", len(a.Value), a.Set)
 			return answer(400, nil)
 		}
@@ -606,7 +615,8 @@
 	hung                     time.Duration
 	queued                   []func()
 	sick                     bool
-	deaf                     bool // its reports arrive, answers and orders do not
+	deaf                     bool          // its reports arrive, answers and orders do not
+	taken                    time.Duration // when the cloud takes it, 0: no notice
 }
 
 type simTask struct {
@@ -614,7 +624,10 @@
 	attempt uint64
 	phase   string
 	cause   string
+	saved   bool
 	ends    int // guards the timer
+	mates   *simGang
+	told    time.Duration // a running task of a gang: when it was told to save
 }
 
 func (k *worker) boot() {
@@ -672,11 +685,15 @@
 func (k *worker) body() []byte {
 	list := []map[string]any{}
 	for _, t := range k.tasks {
-		list = append(list, map[string]any{"piece": t.ref, "try": t.attempt, "phase": t.phase, "cause": t.cause})
+		list = append(list, map[string]any{"piece": t.ref, "try": t.attempt, "phase": t.phase, "cause": t.cause, "stored": t.saved})
+	}
+	var notice any
+	if k.taken > 0 {
+		notice = (k.taken - k.w.now).Seconds()
 	}
 	k.tick++
 	raw, err := json.Marshal(map[string]any{"host": k.host, "addr": k.addr, "build": k.build, "yard": k.zone, "loaners": k.spot,
-		"shift": k.shift, "tick": k.tick, "baton": k.token, "pieces": list})
+		"shift": k.shift, "tick": k.tick, "baton": k.token, "warningS": notice, "pieces": list})
 	if err != nil {
 		panic(err)
 	}
@@ -747,9 +764,10 @@
 }
 
 type order struct {
-	Verb    string `json:"verb"`
-	Ref     string `json:"piece"`
-	Attempt uint64 `json:"try"`
+	Verb     string  `json:"verb"`
+	Ref      string  `json:"piece"`
+	Attempt  uint64  `json:"try"`
+	WindDown float64 `json:"windDownS"`
 }
 
 func (k *worker) direct(c httpwire.Call) httpwire.Answer {
@@ -780,6 +798,9 @@
 			}
 		case "halt":
 			if i >= 0 && k.tasks[i].phase != "ended" {
+				if t := k.tasks[i]; t.mates != nil && t.mates.halt(k, t, o.WindDown) {
+					continue
+				}
 				k.tasks[i].ends++
 				k.tasks[i].phase, k.tasks[i].cause = "ended", "halted"
 			}
@@ -820,6 +841,10 @@
 		return
 	}
 	k.w.started(k, t, j)
+	if j.gang {
+		k.join(t, j)
+		return
+	}
 	ends := t.ends
 	i, _ := strconv.Atoi(index)
 	length := j.length
@@ -846,22 +871,28 @@
 
 // simJob is a job and what its user has been told.
 type simJob struct {
-	id        string
-	team      string
-	tasks     int
-	cpus      float64
-	length    time.Duration
-	spot      bool
-	urgent    bool
-	zone      string
-	spread    bool
-	oneZone   bool
-	accepted  bool
-	began     time.Duration // of its first task, 0: none yet
-	cancelled time.Duration // when its user was told, 0: never
-	asked     bool          // to cancel
-	told      string
-	done      map[int]bool
+	id         string
+	team       string
+	tasks      int
+	cpus       float64
+	length     time.Duration
+	spot       bool
+	urgent     bool
+	zone       string
+	spread     bool
+	oneZone    bool
+	gang       bool
+	builds     []string // allowed machine types, nil for any
+	saveEvery  float64
+	saved      time.Duration // progress that a gang goes on from
+	attempts   map[uint64]*simGang
+	gangStarts int // attempts of which all tasks have run
+	accepted   bool
+	began      time.Duration // of its first task, 0: none yet
+	cancelled  time.Duration // when its user was told, 0: never
+	asked      bool          // to cancel
+	told       string
+	done       map[int]bool
 }
 
 func (j *simJob) body() []byte {
@@ -873,9 +904,13 @@
 	if j.urgent {
 		urgency = "urgent"
 	}
-	raw, err := json.Marshal(map[string]any{"id": j.id, "lane": "x", "crew": j.team, "shape": "array", "urgency": urgency,
-		"pieces": j.tasks, "cpus": j.cpus, "cards": 0, "memoryGb": 1, "kit": "img-" + j.id[len(j.id)-1:], "pullGb": 2.5, "builds": nil,
-		"yard": zone, "samePlace": j.oneZone, "spread": j.spread, "loaners": j.spot, "expectS": 5, "snapshotS": 0, "flushS": 0, "dueS": nil})
+	shape := "array"
+	if j.gang {
+		shape = "gang"
+	}
+	raw, err := json.Marshal(map[string]any{"id": j.id, "lane": "x", "crew": j.team, "shape": shape, "urgency": urgency,
+		"pieces": j.tasks, "cpus": j.cpus, "cards": 0, "memoryGb": 1, "kit": "img-" + j.id[len(j.id)-1:], "pullGb": 2.5, "builds": j.builds,
+		"yard": zone, "samePlace": j.oneZone, "spread": j.spread, "loaners": j.spot, "expectS": 5, "snapshotS": j.saveEvery, "flushS": 1, "dueS": nil})
 	if err != nil {
 		panic(err)
 	}
@@ -1048,7 +1083,7 @@
 
 // newWorld is a deployment of three nodes.
 func newWorld(seed uint64) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*worker{}, jobs: map[string]*simJob{}, cut: map[string]bool{}}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*worker{}, jobs: map[string]*simJob{}, cut: map[string]bool{}, ops: 12, value: 8 << 10}
 	w.log = slog.New(slog.NewTextHandler(io.Discard, nil))
 	if os.Getenv("LEMONMOOR_SIM_LOG") != "" {
 		w.log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
@@ -1063,6 +1098,7 @@
 	d := &w.set.Deployment
 	d.Teams = []settings.Team{{Name: "red", CPUs: 8, CPUsMax: 24}, {Name: "blue", CPUs: 8, CPUsMax: 24}}
 	d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS = 1.2, 12, 45
+	d.Workers.GangWaitS, d.Workers.GangPeerS = 15, 3
 	d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 1000, 500, 8, 12
 	d.Cloud.RPS = 10
 	w.state = &stateService{w: w, keys: map[string]*entry{}, grants: map[uint64]*grant{}}
