--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -502,6 +502,11 @@
 	var r Reply
 	now := f.rt.Now()
 	w := &f.words[d.Block]
+	if w.any && (d.Token < w.token || (d.Token == w.token && d.Seq <= w.seq)) {
+		// Held back on its way. A machine in it, returned long ago, counted as
+		// room for ever: nothing was rented for tasks that waited for it.
+		return r
+	}
 	if !d.Full && (!w.any || w.token != d.Token || d.Seq != w.seq+1) {
 		r.Full = true // what it tells is true, but something is missing
 	} else {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -319,3 +319,22 @@
 		})
 	}
 }
+
+// TestLateDigestTellsNothing guards against a fault of a generated day: a word of
+// an owner that was held back for half a minute brought back a machine that had
+// been returned. It counted as room for ever, and nothing was rented for a gang
+// that waited for it.
+func TestLateDigestTellsNothing(t *testing.T) {
+	rt := &still{now: time.Hour}
+	f := New(rt, "", leading{}, &settings.Settings{}, slog.New(slog.DiscardHandler))
+	f.types = []jobs.MachineType{{Label: "g8", CPUs: 8, BootS: 20}}
+	ghost := []HostState{{ID: "vm-1", Build: "g8", Up: true, Open: true}}
+	f.Hear(&Digest{Full: true, Token: 9, Seq: 40})
+	for _, d := range []*Digest{{Token: 9, Seq: 12, Hosts: ghost}, {Full: true, Token: 9, Seq: 13, Hosts: ghost}, {Full: true, Token: 8, Seq: 90, Hosts: ghost}} {
+		f.Hear(d)
+	}
+	f.Rooms(func(r *Room) { t.Errorf("%s is room", r.Host) })
+	if r := f.Hear(&Digest{Token: 9, Seq: 41}); r.Full {
+		t.Error("the owner is asked to tell all anew")
+	}
+}
