--- a/internal/agents/gang.go
+++ b/internal/agents/gang.go
@@ -11,7 +11,7 @@
 func (t *Table) take(j *work.Job) {
 	j.Take(t.begun)
 	if j.Gang.Done {
-		t.done(j)
+		t.Done(j)
 	}
 }
 
@@ -51,10 +51,10 @@
 	t.windUp(j, now)
 }
 
-// done takes note that a task of a gang is proven done, and with it all are.
+// Done takes note that a task of a gang is proven done, and with it all are.
 // Those on no machine are written off at once, the others when they are proven
 // gone: their places are not free before.
-func (t *Table) done(j *work.Job) {
+func (t *Table) Done(j *work.Job) {
 	if j.Gang.Done && j.Gang.Over || j.Cancelled {
 		return
 	}
--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -783,7 +783,7 @@
 			return append(orders, halt(l.Task, l.Attempt, 0))
 		}
 		if k != nil && l.Cause == "done" && l.Phase == "ended" && k.Job.Gang != nil {
-			t.done(k.Job) // late, or of an earlier attempt: it is done all the same
+			t.Done(k.Job) // late, or of an earlier attempt: it is done all the same
 		}
 		if k != nil && k.State == work.Done && !k.DoneDurable {
 			return orders // done goes into the record before the worker forgets
@@ -828,7 +828,7 @@
 		if k.Job.Gang != nil && !k.Job.Cancelled {
 			t.vacate(h, k)
 			t.book.TaskDone(k)
-			t.done(k.Job)
+			t.Done(k.Job)
 			return orders
 		}
 		if k.Job.Desc.Service() {
--- a/internal/block/shelf.go
+++ b/internal/block/shelf.go
@@ -23,6 +23,8 @@
 	Launchable func(*work.Task)
 	// Loaded is called when the records of a new token have been read.
 	Loaded func()
+	// Done is told that a gang is done, as another block has proven.
+	Done func(*work.Job)
 	// Discard takes a task that was never launched off its machine.
 	Discard func(*work.Task)
 
@@ -136,6 +138,11 @@
 			Tasks: map[int]*work.Task{}, Chunks: map[string]*work.Chunk{}}
 		if e.Job.Gang() {
 			j.Gang = &work.Gang{}
+			for _, o := range s.store.OfJob(r.Job) {
+				for _, m := range o.Marks {
+					j.Elsewhere = j.Elsewhere || (o.Block != s.block && m.State == work.Done)
+				}
+			}
 		}
 		s.jobs[r.Job] = j
 	}
@@ -225,6 +232,18 @@
 	}
 }
 
+// TaskMoved takes note of a task of another block: one of a divided gang that is
+// done means that all are.
+func (s *Shelf) TaskMoved(r *work.Record, k int) {
+	if !s.loaded || r.Block == s.block || r.Marks[k].State != work.Done {
+		return
+	}
+	if j := s.jobs[r.Job]; j != nil && j.Gang != nil && !j.Elsewhere {
+		j.Elsewhere = true
+		s.Done(j)
+	}
+}
+
 // Drop ends a task of a cancelled job that is on no machine. The leader removes
 // a record only when its owner has written all of it off: removed on the
 // leader's own judgement, a placement committed meanwhile would be lost.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -128,7 +128,12 @@
 			o.shelf.RecordRemoved(r)
 		}
 	}
-	n.store.Moved = n.leader.TaskMoved
+	n.store.Moved = func(r *work.Record, k int, was work.Mark) {
+		n.leader.TaskMoved(r, k, was)
+		for _, o := range n.owners {
+			o.shelf.TaskMoved(r, k)
+		}
+	}
 	pace := func() time.Duration {
 		if n.office.Lead() != 0 || n.owning() {
 			return set.WatchPause()
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -49,6 +49,7 @@
 	o.shelf.Waiting = o.arrive
 	o.shelf.Launchable = o.table.Launchable
 	o.shelf.Discard = o.table.Discard
+	o.shelf.Done = o.table.Done
 	o.shelf.Loaded = o.table.Begin
 	o.table.Waiting = o.arrive
 	o.table.Type = n.fleet.Type
--- a/internal/lead/gang.go
+++ b/internal/lead/gang.go
@@ -94,6 +94,16 @@
 		}
 		return batches
 	}
+	if p.done > 0 {
+		// One task of it is done, so all are, also those that were given back
+		// unproven: nothing of it is launched any more.
+		from := len(batches)
+		batches = give(0)
+		for _, b := range batches[from:] {
+			b.done = true
+		}
+		return batches
+	}
 	if p.open > 0 {
 		// A hand-out of several records that was cut short: the rest follows. If
 		// it is coming back instead, the rest is not sent after it.
@@ -106,12 +116,12 @@
 		}
 		for _, r := range l.store.OfJob(p.e.ID) {
 			for _, m := range r.Marks {
-				if m.State == work.Waiting || m.State == work.Placed {
+				if r.Try == 0 && (m.State == work.Waiting || m.State == work.Placed) {
 					return give(r.Block)
 				}
 			}
 		}
-		return batches
+		return batches // parts of a divided gang: all of them have to come back
 	}
 	p.torn = 0
 	for _, booting := range []bool{false, true} {
@@ -123,7 +133,13 @@
 	}
 	age := time.Duration(l.rt.Wall().UnixMilli()-p.e.At) * time.Millisecond
 	if age > tuning.GangHold {
-		if zones, block, ok := l.couldHold(p, n); ok {
+		zones, block, ok := l.couldHold(p, n)
+		if !ok && age > tuning.GangDivide {
+			if divided := l.divide(b, p, n, u, batches); divided != nil {
+				return divided
+			}
+		}
+		if ok {
 			p.zones = zones
 			b.queued[block] += float64(n) * p.desc.CPUs
 			for zone, k := range p.demands(zones, n) {
@@ -149,6 +165,58 @@
 	return batches
 }
 
+// divide hands a gang that no single block would hold to several at once, under
+// an attempt chosen here. Each owner places its part whole, once; when it comes to
+// nothing all parts come back, and the next attempt has a higher number. nil if
+// the blocks together have no room either.
+func (l *Leader) divide(b *board, p *plan, n int, u *usage, batches []*batch) []*batch {
+	if len(b.cpus) == 1 {
+		return nil
+	}
+	last := uint64(0)
+	for _, a := range p.attempts {
+		last = max(last, a/tuning.GangStep)
+	}
+	for _, zones := range l.choices(p) {
+		demands := p.demands(zones, n)
+		fits := true
+		for zone, k := range demands {
+			room := 0
+			for block := range b.cpus {
+				room += b.room(p, zone, block, false)
+			}
+			fits = fits && room >= k
+		}
+		if !fits {
+			continue
+		}
+		p.zones = zones
+		from := len(batches)
+		part := map[int]int{}
+		for p.left() > 0 {
+			zone := work.ZoneOf(zones, p.first())
+			if b.take(p, zone, -1, false, 1, func(block, _ int) {
+				batches = l.give(batches, p, block, u)
+				part[block]++
+			}) == 0 {
+				break // fits says that there is room
+			}
+		}
+		for _, x := range batches[from:] {
+			x.try, x.part = last+1, part[x.block]
+		}
+		l.log.Info("gang divided among blocks", "job", p.e.ID, "attempt", last+1, "blocks", len(part))
+		return batches
+	}
+	if p.starved {
+		// Room comes free bit by bit: what there is is kept for it.
+		for zone, k := range p.demands(p.zones, n) {
+			b.take(p, zone, -1, false, k, func(int, int) {})
+		}
+	}
+	return nil
+}
+
 // couldHold finds zones and a block whose machines would hold a gang if they
 // were empty: its owner collects the room.
 func (l *Leader) couldHold(p *plan, n int) (zones []string, block int, ok bool) {
@@ -197,16 +265,18 @@
 			}
 		}
 		whole := n == p.desc.Tasks
+		if len(p.back) > 0 {
+			// Some of it came back: the rest is called back too.
+			l.recall(p, block, n)
+			continue
+		}
 		switch {
 		case b.holds(p, demands, block, false):
 			b.hold(p, demands, block)
 			continue
 		case whole:
 			if _, other, ok := l.find(b, &plan{e: p.e, desc: p.desc, zones: p.zones}, n, false); ok && other != block || ok && p.desc.OneZone {
-				if l.recalls[block] == nil {
-					l.recalls[block] = map[string]int{}
-				}
-				l.recalls[block][p.e.ID] = n
+				l.recall(p, block, n)
 				continue
 			}
 		}
@@ -219,3 +289,11 @@
 		}
 	}
 }
+
+// recall asks a block for all of a gang, or of its part of one.
+func (l *Leader) recall(p *plan, block, n int) {
+	if l.recalls[block] == nil {
+		l.recalls[block] = map[string]int{}
+	}
+	l.recalls[block][p.e.ID] = n
+}
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -420,6 +420,10 @@
 	tasks   []int
 	retried int
 	bytes   int // what its record takes, at most
+	// Of a divided gang, see work.Record; done: its tasks are proven done.
+	try  uint64
+	part int
+	done bool
 }
 
 // recallFor asks a block to give waiting tasks back when others have open
@@ -513,7 +517,7 @@
 			return batches
 		}
 	}
-	return append(batches, &batch{p, block, []int{i}, retried, cost(nil)})
+	return append(batches, &batch{plan: p, block: block, tasks: []int{i}, retried: retried, bytes: cost(nil)})
 }
 
 // takeBack undoes give.
@@ -543,6 +547,10 @@
 	for _, b := range batches {
 		sort.Ints(b.tasks)
 		r := work.NewRecord(b.block, b.plan.e.ID, b.plan.number, b.tasks, b.plan.zones, b.plan.attempts)
+		r.Try, r.Part = b.try, b.part
+		if b.done {
+			r.AllDone()
+		}
 		b.plan.number++
 		value, err := r.Encode()
 		if err != nil {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -235,6 +235,9 @@
 	// GangHold is how long a gang for which there is no room waits with the
 	// leader, free for any place, before a block's owner collects room for it.
 	GangHold = 3 * time.Second
+	// GangDivide is when a gang that no single block would hold is divided among
+	// several: machines rented for it may be up by then.
+	GangDivide = 25 * time.Second
 	// GangTorn is how long a gang of which a part is with a block and a part
 	// came back is taken for one that is coming back.
 	GangTorn = 5 * time.Second
--- a/internal/work/gang.go
+++ b/internal/work/gang.go
@@ -180,7 +180,7 @@
 // gang. now is the time from which reports count.
 func (j *Job) Take(now time.Duration) {
 	g := j.Gang
-	*g = Gang{Enqueued: now}
+	*g = Gang{Enqueued: now, Done: j.Elsewhere}
 	for _, t := range j.Tasks {
 		g.Done = g.Done || t.State == Done
 		if t.State == Placed {
--- a/internal/work/record.go
+++ b/internal/work/record.go
@@ -127,6 +127,14 @@
 	return r
 }
 
+// AllDone makes it a record of tasks that are proven done already: those of a
+// gang, one of whose tasks is.
+func (r *Record) AllDone() {
+	for i := range r.Marks {
+		r.Marks[i] = Mark{State: Done}
+	}
+}
+
 func (r *Record) blank() {
 	r.Marks, r.Pages = make([]Mark, len(r.Index)), make([]int32, len(r.Index))
 	for i := range r.Pages {
@@ -145,8 +153,9 @@
 	return -1
 }
 
-// storedRecord is the JSON form. Done, Returned, Placed and Attempts are
-// written by the first version only, which kept the tasks' states here.
+// storedRecord is the JSON form. Returned, Placed and Attempts are written by the
+// first version only, which kept the tasks' states here; Done is also written
+// for gangs.
 type storedRecord struct {
 	Index    string   `json:"i"`
 	Last     string   `json:"w,omitempty"` // last attempts
@@ -165,14 +174,17 @@
 // Encode writes the value of a record that has just been handed out.
 func (r *Record) Encode() (json.RawMessage, error) {
 	s := storedRecord{Zones: r.Zones, Try: r.Try, Part: r.Part}
-	var index, last runsOf
+	var index, last, done runsOf
 	for k, i := range r.Index {
 		index.add(i, usual)
+		if r.Marks[k].State == Done {
+			done.add(i, usual)
+		}
 		if a := r.Marks[k].Attempt; a > 0 {
 			last.add(i, a)
 		}
 	}
-	s.Index, s.Last = index.String(), last.String()
+	s.Index, s.Last, s.Done = index.String(), last.String(), done.String()
 	return json.Marshal(s)
 }
 
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -95,6 +95,7 @@
 	Errors    int           // failures in a row
 	NotBefore time.Duration // pause after failures
 	Gang      *Gang         // nil if the tasks need not run together
+	Elsewhere bool          // a part of a divided gang is done in another block
 }
 
 // Before orders jobs: priority, then work within a guarantee, then age.
