--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -665,6 +665,10 @@
 				f.giveBack(m, "does not report")
 			case m.booting && now-m.rented > limit && now-f.begun > tuning.BootSlack:
 				f.giveBack(m, "never booted")
+			case !m.listed && f.listed && now-max(m.rented, f.begun) > limit+2*f.set.ListLag()+tuning.BootSlack:
+				// Taken by the cloud before any list had it: it counted as booting,
+				// and so as room, for ever.
+				f.giveBack(m, "never listed")
 			}
 			continue
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -338,3 +338,26 @@
 		t.Error("the owner is asked to tell all anew")
 	}
 }
+
+// TestTakenBeforeListed guards against a fault of a generated day: a machine that
+// the cloud took before any list had it counted as one that boots, and work waited
+// for it for ever.
+func TestTakenBeforeListed(t *testing.T) {
+	rt := &still{now: time.Hour}
+	set := &settings.Settings{}
+	set.Deployment.Cloud.ListLagS = 10
+	f := New(rt, "", leading{}, set, slog.New(slog.DiscardHandler))
+	f.types = []jobs.MachineType{{Label: "g8", CPUs: 8, BootS: 20}}
+	f.listed = true
+	f.machines["vm-1"] = &machine{id: "vm-1", kind: Kind{Build: "g8"}, rented: rt.now}
+	for _, c := range []struct {
+		after time.Duration
+		back  bool
+	}{{50 * time.Second, false}, {90 * time.Second, true}} {
+		rt.now = time.Hour + c.after
+		f.judge()
+		if got := f.machines["vm-1"].release; got != c.back {
+			t.Errorf("after %v: returned %v", c.after, got)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -319,6 +319,9 @@
 // WorkerLease is how long a worker goes on without an answer.
 func (s *Settings) WorkerLease() time.Duration { return seconds(s.Deployment.Workers.LeaseS) }
 
+// ListLag is how far the cloud's machine list is behind, as a rule.
+func (s *Settings) ListLag() time.Duration { return seconds(s.Deployment.Cloud.ListLagS) }
+
 // GangWait is how long a task of a gang waits for the others before it gives up.
 func (s *Settings) GangWait() time.Duration {
 	return seconds(orElse(s.Deployment.Workers.GangWaitS, tuning.GangWait.Seconds()))
