--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -103,3 +103,35 @@
 		}
 	})
 }
+
+// TestLimitsToCome: what the state service will allow later counts from the
+// start; without it, or a part of it, nothing changes; nonsense is refused.
+func TestLimitsToCome(t *testing.T) {
+	parse := func(next string) (*Settings, error) {
+		return Parse([]byte(strings.Replace(good, `"txn_ops":12`, `"txn_ops":12,"next":`+next, 1)))
+	}
+	for next, want := range map[string]struct {
+		ops  int
+		kb   float64
+		fall float64
+	}{
+		`null`: {12, 8, 1}, `{}`: {12, 8, 1}, `{"txn_ops":4}`: {4, 8, 1}, `{"value_kb":2,"novel":1}`: {12, 2, 1},
+		`{"value_kb":16,"txn_ops":24,"write_rps":30}`:        {12, 8, 1},
+		`{"value_kb":2,"txn_ops":1,"write_rps":12,"rps":40}`: {1, 2, 0.8},
+	} {
+		s, err := parse(next)
+		if err != nil {
+			t.Errorf("%s: %v", next, err)
+			continue
+		}
+		if bytes := int(want.kb * 1024 * tuning.ValueShare); s.TxnOps() != want.ops || s.ValueBytes() != bytes || s.WriteFall() != want.fall {
+			t.Errorf("%s: %d changes, %d bytes, %g", next, s.TxnOps(), s.ValueBytes(), s.WriteFall())
+		}
+	}
+	for next, name := range map[string]string{`{"txn_ops":0}`: "next.txn_ops", `{"value_kb":-1}`: "next.value_kb", `{"value_kb":0.1}`: "next.value_kb",
+		`{"write_rps":0}`: "next.write_rps", `{"rps":-4}`: "next.rps", `{"txn_ops":"x"}`: "next.txn_ops", `7`: "next"} {
+		if _, err := parse(next); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", next, err)
+		}
+	}
+}
