--- a/internal/controller/gang_world_test.go
+++ b/internal/controller/gang_world_test.go
@@ -157,6 +157,9 @@
 
 // halt stops a running member; false lets it exit at once.
 func (g *simGang) halt(k *worker, t *simTask, windDown float64) bool {
+	if t.phase == "saving" && windDown >= 1 {
+		return true // a repeat
+	}
 	if g.started == 0 || g.over || t.phase != "running" {
 		return false
 	}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -191,6 +191,16 @@
 	default:
 		w.send(r.n.name, "workers", timeout, func(reply func(httpwire.Answer)) {
 			if k := w.workers[addr]; k != nil && !k.dead && !k.deaf {
+				if w.now < k.dark {
+					if w.rng.IntN(2) == 0 { // held back, and delivered when the cut is over
+						w.after(k.dark-w.now, func() {
+							if !k.dead {
+								k.direct(c)
+							}
+						})
+					}
+					return
+				}
 				k.whenAwake(func() { reply(k.direct(c)) })
 			}
 		}, back)
@@ -617,6 +627,7 @@
 	sick                     bool
 	deaf                     bool          // its reports arrive, answers and orders do not
 	taken                    time.Duration // when the cloud takes it, 0: no notice
+	dark                     time.Duration // until then its zone is cut off
 }
 
 type simTask struct {
@@ -710,6 +721,11 @@
 		return
 	}
 	k.expire()
+	if k.w.now < k.dark {
+		k.node = (k.node + 1) % len(k.w.nodes)
+		k.w.after(min(4*time.Second, k.dark-k.w.now), k.beat)
+		return
+	}
 	k.report++
 	number, shift, sent := k.report, k.shift, k.w.now
 	n := k.w.nodes[k.node]
@@ -725,7 +741,7 @@
 		if k.dead || number != k.report {
 			return
 		}
-		if k.deaf {
+		if k.deaf || k.w.now < k.dark {
 			a, err = httpwire.Answer{}, engine.ErrNoAnswer
 		}
 		if k.w.now < k.hung {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -686,7 +686,7 @@
 		}
 		// Idle in an outage, when nothing could be handed out, says nothing of
 		// what is needed: most machines went back just when it was over.
-		if m.idles(f) && now-max(m.idle, f.since) > keep {
+		if m.idles(f) && now-max(m.idle, f.since) > keep && !f.awaited(m) {
 			m.drain = "idle" // its owner agrees, then gives it back
 			idle--
 		}
@@ -698,6 +698,18 @@
 	}
 }
 
+// awaited tells whether a gang waits for machines of which this is one: it needs
+// several at a time, and they may come one by one.
+func (f *Fleet) awaited(m *machine) bool {
+	for i := range f.needs {
+		n := &f.needs[i]
+		if r := f.empty(m.kind); n.Desc.Gang() && n.Number > 0 && r.Type != nil && r.Could(n.Desc, n.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
 // idles tells whether a machine takes tasks and has none.
 func (m *machine) idles(f *Fleet) bool {
 	return m.drain == "" && f.fresh(m) && m.state.Open && !m.state.Busy
--- a/internal/lead/gang.go
+++ b/internal/lead/gang.go
@@ -124,29 +124,31 @@
 		return batches // parts of a divided gang: all of them have to come back
 	}
 	p.torn = 0
-	for _, booting := range []bool{false, true} {
-		if zones, block, ok := l.find(b, p, n, booting); ok {
-			p.zones = zones
-			b.hold(p, p.demands(zones, n), block)
-			return give(block)
-		}
+	hand := func(zones []string, block int) []*batch {
+		p.zones, p.handed = zones, l.rt.Now()
+		return give(block)
+	}
+	if zones, block, ok := l.find(b, p, n, false); ok {
+		b.hold(p, p.demands(zones, n), block)
+		return hand(zones, block)
 	}
 	age := time.Duration(l.rt.Wall().UnixMilli()-p.e.At) * time.Millisecond
-	if age > tuning.GangHold {
-		zones, block, ok := l.couldHold(p, n)
-		if !ok && age > tuning.GangDivide {
-			if divided := l.divide(b, p, n, u, batches); divided != nil {
-				return divided
-			}
+	wide, widest, could := l.couldHold(p, n)
+	if !could && age > tuning.GangDivide {
+		if divided := l.divide(b, p, n, u, batches); divided != nil {
+			return divided
 		}
-		if ok {
-			p.zones = zones
-			b.queued[block] += float64(n) * p.desc.CPUs
-			for zone, k := range p.demands(zones, n) {
-				need(p, zone, k)
-			}
-			return give(block)
+	}
+	if zones, block, ok := l.find(b, p, n, true); ok {
+		b.hold(p, p.demands(zones, n), block)
+		return hand(zones, block)
+	}
+	if could && age > tuning.GangHold {
+		b.queued[widest] += float64(n) * p.desc.CPUs
+		for zone, k := range p.demands(wide, n) {
+			need(p, zone, k)
 		}
+		return hand(wide, widest)
 	}
 	// Machines are asked for in a zone where some can be had.
 	zones := p.zones
@@ -279,6 +281,13 @@
 				l.recall(p, block, n)
 				continue
 			}
+			if l.rt.Now()-p.handed > tuning.GangDivide {
+				if _, _, ok := l.couldHold(p, n); !ok {
+					// The machines it was to have here did not come.
+					l.recall(p, block, n)
+					continue
+				}
+			}
 		}
 		if b.holds(p, demands, block, true) {
 			b.hold(p, demands, block)
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -41,6 +41,7 @@
 	starved   bool          // waits for its first task for too long
 	missed    int           // aims that it cannot meet any more
 	torn      time.Duration // a gang: since when only a part of it has come back
+	handed    time.Duration // a gang: when it was last handed out
 }
 
 // left tells how many tasks are not handed out.
