--- a/internal/controller/gang_test.go
+++ b/internal/controller/gang_test.go
@@ -45,16 +45,16 @@
 		w := newWorld(rapid.Uint64().Draw(t, "seed"))
 		w.copies = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "copies")
 		w.late = rapid.SampledFrom([]float64{0, 0.01}).Draw(t, "late")
-		w.cloud.room = rapid.SampledFrom([]int{3, 5, 12}).Draw(t, "machines")
+		w.cloud.each = rapid.SampledFrom([]int{2, 4}).Draw(t, "machines of a kind")
 		if rapid.Bool().Draw(t, "several blocks") {
 			w.set.Deployment.Teams[0].CPUs = 2 * tuning.BlockCPUs
 			w.reboot()
 		}
 		for i := range rapid.IntRange(1, 4).Draw(t, "gangs") {
-			j := aGang(i, rapid.IntRange(2, 6).Draw(t, "tasks"), rapid.SampledFrom([]float64{1, 2}).Draw(t, "cpus"))
+			j := aGang(i, rapid.IntRange(2, 6).Draw(t, "tasks"), rapid.SampledFrom([]float64{1, 2, 4}).Draw(t, "cpus"))
 			j.saveEvery = rapid.SampledFrom([]float64{0, 2}).Draw(t, "save")
 			j.oneZone = rapid.Bool().Draw(t, "one zone")
-			j.spread = !j.oneZone && w.cloud.room == 12 && rapid.Bool().Draw(t, "spread")
+			j.spread = !j.oneZone && rapid.Bool().Draw(t, "spread")
 			j.length = time.Duration(rapid.IntRange(500, 15000).Draw(t, "length")) * time.Millisecond
 			cancel := time.Duration(0)
 			if rapid.IntRange(0, 4).Draw(t, "cancelled") == 0 {
@@ -233,7 +233,7 @@
 	for _, crash := range []bool{false, true} {
 		w := newWorld(34)
 		w.set.Deployment.Teams[0].CPUs = 2 * tuning.BlockCPUs
-		w.cloud.room = 4
+		w.cloud.each = 2
 		w.reboot()
 		j := aGang(1, 4, 4) // four machines of four processors, two in each block
 		j.zone = "b"
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -535,9 +535,24 @@
 	next    int
 	hires   map[string][]string
 	room    int
+	each    int // if not 0, what there is of each kind of machine instead
 	workers []*worker
 }
 
+// left tells how many machines of a kind can still be had.
+func (c *simCloud) left(build, zone string, spot bool) int {
+	if c.each == 0 {
+		return c.room
+	}
+	n := c.each
+	for _, k := range c.workers {
+		if k.build == build && k.zone == zone && k.spot == spot && !k.released && !k.dead {
+			n--
+		}
+	}
+	return n
+}
+
 func (c *simCloud) serve(call httpwire.Call) httpwire.Answer {
 	u, _ := url.Parse(call.Target)
 	switch u.Path {
@@ -590,7 +605,7 @@
 	if old, ok := c.hires[h.Hire]; ok {
 		return answer(200, map[string]any{"hosts": old})
 	}
-	n := min(h.Number, c.room)
+	n := min(h.Number, c.left(h.Build, h.Zone, h.Spot))
 	if n == 0 {
 		return answer(503, map[string]string{"error": "no capacity"})
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -686,7 +686,7 @@
 		}
 		// Idle in an outage, when nothing could be handed out, says nothing of
 		// what is needed: most machines went back just when it was over.
-		if m.idles(f) && now-max(m.idle, f.since) > keep && !f.awaited(m) {
+		if m.idles(f) && now-max(m.idle, f.since) > keep && !(f.awaited(m) && now-m.idle < tuning.GangKeep) {
 			m.drain = "idle" // its owner agrees, then gives it back
 			idle--
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -238,6 +238,9 @@
 	// GangDivide is when a gang that no single block would hold is divided among
 	// several: machines rented for it may be up by then.
 	GangDivide = 25 * time.Second
+	// GangKeep is how long an idle machine is kept when a gang waits for several
+	// like it: as long as others may take to be had and to boot.
+	GangKeep = 100 * time.Second
 	// GangTorn is how long a gang of which a part is with a block and a part
 	// came back is taken for one that is coming back.
 	GangTorn = 5 * time.Second
