--- a/internal/agents/gang.go
+++ b/internal/agents/gang.go
@@ -19,8 +19,12 @@
 // how they are if that is what decides.
 func (t *Table) lost(k *work.Task, how work.Loss) {
 	j, now := k.Job, t.rt.Now()
-	doubt := j.Gang.Doubt
+	doubt, was := j.Gang.Doubt, *j.Gang
 	j.Lost(k, how, now)
+	if j.Gang.Attempt == 0 || (j.Gang.Over && !was.Over) {
+		t.log.Debug("gang's attempt comes to nothing", "job", j.Desc.ID, "attempt", was.Attempt, "task", k.Index, "started", was.Started,
+			"through", j.Gang.Attempt == 0, "saved", was.Saving)
+	}
 	if j.Gang.Doubt != doubt && j.Gang.Doubt > 0 {
 		for _, o := range j.Tasks {
 			if h := t.hosts[o.Host]; o.State == work.Placed && h != nil {
@@ -40,6 +44,10 @@
 	now := t.rt.Now()
 	switch phase {
 	case "running", "saving":
+		if !j.Gang.Started {
+			t.log.Debug("gang runs", "job", j.Desc.ID, "class", j.Desc.Class, "attempt", j.Gang.Attempt, "host", k.Host,
+				"age_s", float64(t.rt.Wall().UnixMilli()-j.Submitted)/1000)
+		}
 		j.SeenRunning(now)
 		if !k.Ran {
 			k.Ran = true
--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -64,12 +64,7 @@
 	flying  bool // a direct order is under way
 	ask     bool // how its tasks are is to be asked directly
 	inLine  bool // to be told of the token
-	images  []cached
-}
-
-type cached struct {
-	name string
-	gb   float64
+	images  Cache
 }
 
 // Free is what new tasks may take.
@@ -80,12 +75,8 @@
 	return h.Type.CPUs - h.CPUs, h.Type.Cards - h.Cards, h.Type.MemoryGB - h.Memory
 }
 
-// Caches tells whether the machine has, or is fetching, an image. Reports do
-// not say; it follows from the tasks that were started there, the least
-// recently used image going first.
-func (h *Host) Caches(image string) bool {
-	return slices.ContainsFunc(h.images, func(c cached) bool { return c.name == image })
-}
+// Caches tells whether the machine has, or is fetching, an image.
+func (h *Host) Caches(image string) bool { return h.images.Has(image) }
 
 // Images lists the images that the machine has.
 func (h *Host) Images() []string {
@@ -97,21 +88,7 @@
 }
 
 // Use notes that a task with an image starts on the machine.
-func (h *Host) Use(image string, gb float64) {
-	h.images = slices.DeleteFunc(h.images, func(c cached) bool { return c.name == image })
-	h.images = append(h.images, cached{image, gb})
-	if h.Type == nil {
-		return
-	}
-	sum := 0.0
-	for i := len(h.images) - 1; i >= 0; i-- {
-		sum += h.images[i].gb
-		if sum > h.Type.CacheGB && i < len(h.images)-1 {
-			h.images = slices.Delete(h.images, 0, i+1)
-			return
-		}
-	}
-}
+func (h *Host) Use(image string, gb float64) { h.images.Use(image, gb, h.Type) }
 
 // Office is what the table asks of the block's lease.
 type Office interface {
--- a/internal/lead/gang.go
+++ b/internal/lead/gang.go
@@ -9,7 +9,7 @@
 )
 
 // A gang is handed out whole, to one block: where there is room for all of it,
-// else where machines boot for it, else, after a while, to a block whose owner
+// first on machines that cache its image, else where machines boot for it, else, after a while, to a block whose owner
 // collects the room. The zone of one that must stay in one is fixed with that,
 // and anew if it comes back, when nothing of it is on a machine.
 
@@ -23,26 +23,36 @@
 	return of
 }
 
+// where is the machines that are looked at for a gang.
+type where int
+
+const (
+	caching where = iota // up, and have its image
+	up
+	coming // up or booting
+)
+
 // room counts the tasks of a job for which a block's machines have room.
-func (b *board) room(p *plan, zone string, block int, booting bool) int {
+func (b *board) room(p *plan, zone string, block int, booting, cached bool) int {
 	n := 0
 	for _, s := range b.racks {
 		if s.booting == booting && s.block == block && s.kind.Could(p.desc, zone) {
 			for i := range s.rooms {
-				n += s.rooms[i].fit(p.desc)
+				if c := s.rooms[i].cache; !cached || (c != nil && c.images.Has(p.desc.Image)) {
+					n += s.rooms[i].fit(p.desc)
+				}
 			}
 		}
 	}
 	return n
 }
 
-// holds tells whether a block has room for all that is demanded, on machines
-// that are up or, if asked, that boot.
-func (b *board) holds(p *plan, demands map[string]int, block int, booting bool) bool {
+// holds tells whether a block has room for all that is demanded.
+func (b *board) holds(p *plan, demands map[string]int, block int, on where) bool {
 	for zone, n := range demands {
-		room := b.room(p, zone, block, false)
-		if booting && room < n {
-			room += b.room(p, zone, block, true)
+		room := b.room(p, zone, block, false, on == caching)
+		if on == coming && room < n {
+			room += b.room(p, zone, block, true, false)
 		}
 		if room < n {
 			return false
@@ -73,11 +83,11 @@
 }
 
 // find looks for zones and a block with room for all of a gang, n tasks.
-func (l *Leader) find(b *board, p *plan, n int, booting bool) (zones []string, block int, ok bool) {
+func (l *Leader) find(b *board, p *plan, n int, on where) (zones []string, block int, ok bool) {
 	choices := l.choices(p)
 	for _, block := range b.order(l.home(p)) {
 		for _, zones := range choices {
-			if b.holds(p, p.demands(zones, n), block, booting) {
+			if b.holds(p, p.demands(zones, n), block, on) {
 				return zones, block, true
 			}
 		}
@@ -126,20 +136,23 @@
 	p.torn = 0
 	hand := func(zones []string, block int) []*batch {
 		p.zones, p.handed = zones, l.rt.Now()
+		l.log.Debug("gang handed out", "job", p.e.ID, "class", p.desc.Class, "tasks", n, "block", block, "zones", zones, "age_s", l.age(p).Seconds())
 		return give(block)
 	}
-	if zones, block, ok := l.find(b, p, n, false); ok {
-		b.hold(p, p.demands(zones, n), block)
-		return hand(zones, block)
+	for _, on := range []where{caching, up} {
+		if zones, block, ok := l.find(b, p, n, on); ok {
+			b.hold(p, p.demands(zones, n), block)
+			return hand(zones, block)
+		}
 	}
-	age := time.Duration(l.rt.Wall().UnixMilli()-p.e.At) * time.Millisecond
+	age := l.age(p)
 	wide, widest, could := l.couldHold(p, n)
 	if !could && age > tuning.GangDivide {
 		if divided := l.divide(b, p, n, u, batches); divided != nil {
 			return divided
 		}
 	}
-	if zones, block, ok := l.find(b, p, n, true); ok {
+	if zones, block, ok := l.find(b, p, n, coming); ok {
 		b.hold(p, p.demands(zones, n), block)
 		return hand(zones, block)
 	}
@@ -185,7 +198,7 @@
 		for zone, k := range demands {
 			room := 0
 			for block := range b.cpus {
-				room += b.room(p, zone, block, false)
+				room += b.room(p, zone, block, false, false)
 			}
 			fits = fits && room >= k
 		}
@@ -219,6 +232,11 @@
 	return nil
 }
 
+// age is how long ago a job was submitted.
+func (l *Leader) age(p *plan) time.Duration {
+	return time.Duration(l.rt.Wall().UnixMilli()-p.e.At) * time.Millisecond
+}
+
 // couldHold finds zones and a block whose machines would hold a gang if they
 // were empty: its owner collects the room.
 func (l *Leader) couldHold(p *plan, n int) (zones []string, block int, ok bool) {
@@ -229,7 +247,7 @@
 	sum := map[place]int{}
 	l.fleet.Rooms(func(r *fleet.Room) {
 		if !r.Booting && r.Could(p.desc, "") {
-			k := (&room{r.Type.CPUs, r.Type.Cards, r.Type.MemoryGB}).fit(p.desc)
+			k := (&room{cpus: r.Type.CPUs, cards: r.Type.Cards, memory: r.Type.MemoryGB}).fit(p.desc)
 			sum[place{r.Zone, r.Block}] += k
 			sum[place{"", r.Block}] += k
 		}
@@ -273,11 +291,11 @@
 			continue
 		}
 		switch {
-		case b.holds(p, demands, block, false):
+		case b.holds(p, demands, block, up):
 			b.hold(p, demands, block)
 			continue
 		case whole:
-			if _, other, ok := l.find(b, &plan{e: p.e, desc: p.desc, zones: p.zones}, n, false); ok && other != block || ok && p.desc.OneZone {
+			if _, other, ok := l.find(b, &plan{e: p.e, desc: p.desc, zones: p.zones}, n, up); ok && other != block || ok && p.desc.OneZone {
 				l.recall(p, block, n)
 				continue
 			}
@@ -289,7 +307,7 @@
 				}
 			}
 		}
-		if b.holds(p, demands, block, true) {
+		if b.holds(p, demands, block, coming) {
 			b.hold(p, demands, block)
 			continue
 		}
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -13,7 +13,10 @@
 )
 
 // room is what one machine has left.
-type room struct{ cpus, cards, memory float64 }
+type room struct {
+	cpus, cards, memory float64
+	cache               *cache // nil if nothing is known
+}
 
 // rack is the machines of one kind in one block, up or booting: whether a job
 // may use them is asked once for all of them.
@@ -42,6 +45,7 @@
 		booting bool
 	}
 	index := map[which]*rack{}
+	now := l.rt.Now()
 	l.fleet.Rooms(func(r *fleet.Room) {
 		b.number++
 		b.cpus[r.Block] += r.Type.CPUs
@@ -53,7 +57,10 @@
 			index[w] = s
 			b.racks = append(b.racks, s)
 		}
-		left := room{r.Type.CPUs, r.Type.Cards, r.Type.MemoryGB}
+		left := room{r.Type.CPUs, r.Type.Cards, r.Type.MemoryGB, l.caches[r.Host]}
+		if left.cache != nil {
+			left.cache.kind, left.cache.seen = r.Type, now
+		}
 		if h := l.loads[r.Host]; h != nil {
 			left.cpus -= h.cpus
 			left.cards -= h.cards
@@ -287,6 +294,14 @@
 			batches = l.place(board, p, u, n, batches, need)
 		}
 	}
+	if l.rt.Now()-l.pruned > tuning.ForgetReturned {
+		l.pruned = l.rt.Now()
+		for host, c := range l.caches {
+			if l.pruned-c.seen > tuning.ForgetReturned {
+				delete(l.caches, host)
+			}
+		}
+	}
 	l.fleet.Want(unmet)
 	if len(batches) == 0 {
 		return false
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"lemonmoor/internal/agents"
 	"lemonmoor/internal/engine"
 	"lemonmoor/internal/fleet"
 	"lemonmoor/internal/intake"
@@ -77,6 +78,14 @@
 	cpus, cards, memory float64
 }
 
+// cache is what a machine caches, as far as this leader has seen tasks placed
+// there.
+type cache struct {
+	images agents.Cache
+	kind   *jobs.MachineType // nil until the machine is known
+	seen   time.Duration     // when it last was
+}
+
 // Leader hands out work while this process holds the lead.
 type Leader struct {
 	rt     engine.Runtime
@@ -106,8 +115,10 @@
 	last    time.Duration
 	recalls map[int]map[string]int // by block and job
 	images  map[string][]int       // tasks placed, by image and block
+	caches  map[string]*cache      // what the machines cache, by their names
 	alone   bool                   // after a failed guard, one end a commit
 	pause   time.Duration          // between two hand-outs
+	pruned  time.Duration          // when machines long gone were last forgotten
 }
 
 // New returns a leader without the lead.
@@ -125,7 +136,7 @@
 	l.plans, l.order, l.ends, l.stale = map[string]*plan{}, nil, nil, nil
 	l.usage, l.loads = map[string]*usage{}, map[string]*load{}
 	l.pending, l.recalls = map[string]*work.Record{}, map[int]map[string]int{}
-	l.images = map[string][]int{}
+	l.images, l.caches = map[string][]int{}, map[string]*cache{}
 	for _, t := range l.set.Deployment.Teams {
 		l.usage[t.Name] = &usage{cpusMax: t.CPUsMax, cardsMax: t.GPUsMax, kept: tuning.KeptShare * t.CPUsMax, at: l.rt.Now()}
 	}
@@ -293,6 +304,12 @@
 		if block < len(of) {
 			of[block]++
 		}
+		c := l.caches[m.Host]
+		if c == nil {
+			c = &cache{}
+			l.caches[m.Host] = c
+		}
+		c.images.Use(p.desc.Image, p.desc.ImageGB, c.kind)
 	}
 }
 
