--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -48,6 +48,9 @@
 	Cards  float64
 	Memory float64
 
+	// KeptCPUs, KeptCards and KeptMemory are kept for gangs to come.
+	KeptCPUs, KeptCards, KeptMemory float64
+
 	Refused time.Duration // no tasks before, after it said it is full
 	// Unheard counts reports in a row that were answered under a token which
 	// the next did not show, Lost launches in a row that never showed: proof
@@ -362,6 +365,9 @@
 // Place gives a waiting task to a machine. The launch leaves once the
 // placement is durable.
 func (t *Table) Place(k *work.Task, h *Host) {
+	if g := k.Job.Gang; g != nil && !h.Caches(k.Job.Desc.Image) {
+		g.Cold++
+	}
 	k.Placing(h.ID)
 	k.MinToken, k.Shift, k.Tick = t.office.Token(), 0, 0
 	t.occupy(h, k)
@@ -372,6 +378,8 @@
 func (t *Table) Launchable(k *work.Task) {
 	if k.Job.Gang != nil {
 		if k.Launchable() { // with the last of a gang, all of it
+			t.log.Debug("gang placed", "job", k.Job.Desc.ID, "attempt", k.Try(), "tasks", len(k.Job.Tasks), "fetching", k.Job.Gang.Cold,
+				"age_s", float64(t.rt.Wall().UnixMilli()-k.Job.Submitted)/1000)
 			for _, o := range k.Job.Tasks {
 				if h := t.hosts[o.Host]; h != nil {
 					t.ready[h] = true
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -56,6 +56,7 @@
 	o.planner.Open = o.table.Open
 	o.planner.Find = o.table.Get
 	o.planner.Place = o.table.Place
+	o.planner.Prompt = n.set.Prompt
 	o.planner.Missed = func(j *work.Job, age float64) int { return j.Desc.Missed(n.set, age) }
 	return o
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -919,7 +919,7 @@
 				if spot {
 					price = t.SpotPrice
 				}
-				if cost := price * float64(want); cost < bestCost && wanted[k]+want <= tuning.HireAhead {
+				if cost := price * float64(want) * (1 + tuning.GangFew*float64(want-1)); cost < bestCost && wanted[k]+want <= tuning.HireAhead {
 					best, number, bestCost = k, want, cost
 				}
 			}
--- a/internal/lead/gang.go
+++ b/internal/lead/gang.go
@@ -1,9 +1,11 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
 	"lemonmoor/internal/fleet"
+	"lemonmoor/internal/jobs"
 	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/work"
 )
@@ -98,6 +100,7 @@
 // placeGang hands a gang out if there is a place for all of it.
 func (l *Leader) placeGang(b *board, p *plan, u *usage, batches []*batch, need func(*plan, string, int)) []*batch {
 	n := p.left()
+	l.expect(p)
 	give := func(block int) []*batch {
 		for p.left() > 0 {
 			batches = l.give(batches, p, block, u)
@@ -324,3 +327,100 @@
 	}
 	l.recalls[block][p.e.ID] = n
 }
+
+// expected is a class of gangs that has come of late.
+type expected struct {
+	desc  *jobs.Description // of the newest
+	tasks int               // of the largest of late
+	at    time.Duration     // when it came
+}
+
+// expect takes note of a gang that has come: more may.
+func (l *Leader) expect(p *plan) {
+	if !l.set.Prompt(p.desc.Class) || p.done > 0 {
+		return
+	}
+	x := l.expected[p.desc.Class]
+	if x == nil {
+		x = &expected{}
+		l.expected[p.desc.Class] = x
+	}
+	x.desc, x.tasks, x.at = p.desc, max(x.tasks, p.desc.Tasks), l.rt.Now()
+}
+
+// keepWarm keeps room for gangs to come, and asks for machines where there is
+// none. Work that may wait has the rest.
+func (l *Leader) keepWarm(b *board, need func(d *jobs.Description, zone string, n int)) {
+	now := l.rt.Now()
+	classes := make([]string, 0, len(l.expected))
+	for class, x := range l.expected {
+		if now-x.at > tuning.GangWarm {
+			delete(l.expected, class)
+			continue
+		}
+		classes = append(classes, class)
+	}
+	slices.Sort(classes)
+	for _, class := range classes {
+		x := l.expected[class]
+		zones := []string{""}
+		if x.desc.OneZone {
+			zones = l.fleet.AllZones(x.desc)
+		}
+		for range tuning.GangSpare {
+			if l.keep(b, x, zones) || len(zones) == 0 {
+				continue
+			}
+			zone := zones[0]
+			for _, z := range zones {
+				if l.fleet.Rentable(x.desc, z) {
+					zone = z
+					break
+				}
+			}
+			need(x.desc, zone, x.tasks)
+		}
+	}
+}
+
+// keep keeps room for one such gang, on machines that cache its image if it can
+// be, else on others, at worst on those that boot.
+func (l *Leader) keep(b *board, x *expected, zones []string) bool {
+	home := l.home(&plan{desc: x.desc})
+	for _, on := range []where{caching, up, coming} {
+		for _, block := range b.order(home) {
+			for _, zone := range zones {
+				var found []*room
+				n := 0
+				for _, s := range b.racks {
+					if s.block != block || (s.booting && on != coming) || !s.kind.Could(x.desc, zone) {
+						continue
+					}
+					for i := range s.rooms {
+						r := &s.rooms[i]
+						if on == caching && (r.cache == nil || !r.cache.images.Has(x.desc.Image)) {
+							continue
+						}
+						if k := r.unkept(x.desc); k > 0 && n < x.tasks {
+							n += k
+							found = append(found, r)
+						}
+					}
+				}
+				if n < x.tasks {
+					continue
+				}
+				left := x.tasks
+				for _, r := range found {
+					k := min(left, r.unkept(x.desc))
+					r.keptCPUs += float64(k) * x.desc.CPUs
+					r.keptCards += float64(k) * x.desc.Cards
+					r.keptMemory += float64(k) * x.desc.MemoryGB
+					left -= k
+				}
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -16,6 +16,8 @@
 type room struct {
 	cpus, cards, memory float64
 	cache               *cache // nil if nothing is known
+	// Kept for gangs to come: other work gets none of it.
+	keptCPUs, keptCards, keptMemory float64
 }
 
 // rack is the machines of one kind in one block, up or booting: whether a job
@@ -57,7 +59,7 @@
 			index[w] = s
 			b.racks = append(b.racks, s)
 		}
-		left := room{r.Type.CPUs, r.Type.Cards, r.Type.MemoryGB, l.caches[r.Host]}
+		left := room{cpus: r.Type.CPUs, cards: r.Type.Cards, memory: r.Type.MemoryGB, cache: l.caches[r.Host]}
 		if left.cache != nil {
 			left.cache.kind, left.cache.seen = r.Type, now
 		}
@@ -88,8 +90,20 @@
 
 // fit tells how many tasks of a job a machine has room for.
 func (r *room) fit(d *jobs.Description) int {
+	if d.Gang() {
+		return fit(d, r.cpus, r.cards, r.memory)
+	}
+	return r.unkept(d)
+}
+
+// unkept is the same for what is not kept.
+func (r *room) unkept(d *jobs.Description) int {
+	return fit(d, r.cpus-r.keptCPUs, r.cards-r.keptCards, r.memory-r.keptMemory)
+}
+
+func fit(d *jobs.Description, cpus, cards, memory float64) int {
 	n := math.MaxInt32
-	for _, x := range [...]struct{ need, left float64 }{{d.CPUs, r.cpus}, {d.Cards, r.cards}, {d.MemoryGB, r.memory}} {
+	for _, x := range [...]struct{ need, left float64 }{{d.CPUs, cpus}, {d.Cards, cards}, {d.MemoryGB, memory}} {
 		if x.need > 0 {
 			n = min(n, int(math.Floor((x.left+slack)/x.need)))
 		}
@@ -231,6 +245,9 @@
 			unmet = append(unmet, fleet.Need{Desc: p.desc, Behind: n})
 		}
 	}
+	l.keepWarm(board, func(d *jobs.Description, zone string, n int) {
+		unmet = append(unmet, fleet.Need{Desc: d, Zone: zone, Number: n, Soft: tuning.PatienceMost.Seconds(), Hard: tuning.PatienceMost.Seconds()})
+	})
 	// Tasks already in a block's queues take the room there is in it.
 	for _, p := range l.order {
 		if p.cancelled {
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -97,28 +97,29 @@
 	set    *settings.Settings
 	log    *slog.Logger
 
-	term    int // grows with every lead won; late answers of old ones are dropped
-	token   uint64
-	loaded  bool
-	plans   map[string]*plan
-	order   []*plan
-	resort  bool
-	usage   map[string]*usage
-	loads   map[string]*load
-	pending map[string]*work.Record // handed out, not seen in the store yet
-	ends    []*plan
-	stale   []string // records to remove
-	swept   time.Duration
-	flying  bool
-	wanted  bool
-	timed   bool
-	last    time.Duration
-	recalls map[int]map[string]int // by block and job
-	images  map[string][]int       // tasks placed, by image and block
-	caches  map[string]*cache      // what the machines cache, by their names
-	alone   bool                   // after a failed guard, one end a commit
-	pause   time.Duration          // between two hand-outs
-	pruned  time.Duration          // when machines long gone were last forgotten
+	term     int // grows with every lead won; late answers of old ones are dropped
+	token    uint64
+	loaded   bool
+	plans    map[string]*plan
+	order    []*plan
+	resort   bool
+	usage    map[string]*usage
+	loads    map[string]*load
+	pending  map[string]*work.Record // handed out, not seen in the store yet
+	ends     []*plan
+	stale    []string // records to remove
+	swept    time.Duration
+	flying   bool
+	wanted   bool
+	timed    bool
+	last     time.Duration
+	recalls  map[int]map[string]int // by block and job
+	images   map[string][]int       // tasks placed, by image and block
+	caches   map[string]*cache      // what the machines cache, by their names
+	alone    bool                   // after a failed guard, one end a commit
+	pause    time.Duration          // between two hand-outs
+	expected map[string]*expected   // gangs to come, by class
+	pruned   time.Duration          // when machines long gone were last forgotten
 }
 
 // New returns a leader without the lead.
@@ -136,7 +137,7 @@
 	l.plans, l.order, l.ends, l.stale = map[string]*plan{}, nil, nil, nil
 	l.usage, l.loads = map[string]*usage{}, map[string]*load{}
 	l.pending, l.recalls = map[string]*work.Record{}, map[int]map[string]int{}
-	l.images, l.caches = map[string][]int{}, map[string]*cache{}
+	l.images, l.caches, l.expected = map[string][]int{}, map[string]*cache{}, map[string]*expected{}
 	for _, t := range l.set.Deployment.Teams {
 		l.usage[t.Name] = &usage{cpusMax: t.CPUsMax, cardsMax: t.GPUsMax, kept: tuning.KeptShare * t.CPUsMax, at: l.rt.Now()}
 	}
@@ -207,6 +208,9 @@
 		if p.desc.Gang() && p.open == 0 && p.done == 0 {
 			p.zones = nil // all of it is off its machines: it may go elsewhere
 		}
+		if p.desc.Gang() {
+			l.expect(p)
+		}
 	}
 	for _, p := range l.plans {
 		l.over(p)
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -8,6 +8,7 @@
 
 	"lemonmoor/internal/agents"
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/work"
 )
 
@@ -27,9 +28,80 @@
 	if !slices.Contains(p.gangs, j) {
 		p.gangs = append(p.gangs, j)
 		j.Gang.Enqueued = now
+		if class := j.Desc.Class; p.Prompt(class) {
+			x := p.expected[class]
+			if x == nil {
+				x = &expected{}
+				p.expected[class] = x
+			}
+			x.desc, x.tasks, x.at = j.Desc, max(x.tasks, len(j.Tasks)), now
+		}
+	}
+}
+
+// expected is a class of gangs that has come of late: more may, and the users
+// expect them to start at once.
+type expected struct {
+	desc  *jobs.Description // of the newest
+	tasks int               // of the largest of late
+	at    time.Duration
+}
+
+// keepWarm keeps room for gangs to come from other work, in one zone each if they
+// must be, as the leader does when it hands work out.
+func (p *Planner) keepWarm(r *round) {
+	for _, h := range r.open {
+		h.KeptCPUs, h.KeptCards, h.KeptMemory = 0, 0, 0
+	}
+	classes := make([]string, 0, len(p.expected))
+	for class, x := range p.expected {
+		if r.now-x.at > tuning.GangWarm {
+			delete(p.expected, class)
+			continue
+		}
+		classes = append(classes, class)
+	}
+	slices.Sort(classes)
+	for _, class := range classes {
+		x := p.expected[class]
+		j := &work.Job{Desc: x.desc}
+		zones := []string{""}
+		if x.desc.OneZone {
+			zones = nil
+			for _, h := range r.free {
+				if !slices.Contains(zones, h.Zone) {
+					zones = append(zones, h.Zone)
+				}
+			}
+			slices.Sort(zones)
+		}
+		for range tuning.GangSpare {
+			var best []*agents.Host
+			for _, zone := range zones {
+				tasks := make([]*work.Task, x.tasks)
+				for i := range tasks {
+					tasks[i] = &work.Task{Job: j, Zone: zone}
+				}
+				hosts := p.fit(r.free, tasks, func(*agents.Host) bool { return true }, unkept)
+				if hosts != nil && (best == nil || nearness(hosts[0], x.desc.Image) < nearness(best[0], x.desc.Image)) {
+					best = hosts
+				}
+			}
+			for _, h := range best {
+				h.KeptCPUs += x.desc.CPUs
+				h.KeptCards += x.desc.Cards
+				h.KeptMemory += x.desc.MemoryGB
+			}
+		}
 	}
 }
 
+// unkept tells how many tasks a machine has room for that is not kept.
+func unkept(t *work.Task, h *agents.Host) int {
+	cpus, cards, memory := h.Free()
+	return number(t, cpus-h.KeptCPUs, cards-h.KeptCards, memory-h.KeptMemory)
+}
+
 // muster finds the gangs that want machines now.
 func (p *Planner) muster(r *round) {
 	p.gangs = slices.DeleteFunc(p.gangs, func(j *work.Job) bool {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -27,6 +27,8 @@
 	// Missed counts the aims that a job of an age in seconds cannot meet any
 	// more.
 	Missed func(j *work.Job, age float64) int
+	// Prompt tells whether gangs of a class should find room at once.
+	Prompt func(class string) bool
 	// WaitBound is the wait in the extra queue after which a task goes first.
 	WaitBound time.Duration
 
@@ -34,11 +36,12 @@
 	queues   map[string][]*work.Task // by machine
 	extra    []*work.Task
 	gangs    []*work.Job // that want machines, as units; see gang.go
+	expected map[string]*expected
 }
 
 // New returns a planner with empty queues.
 func New(bound time.Duration) *Planner {
-	return &Planner{WaitBound: bound, queues: map[string][]*work.Task{}}
+	return &Planner{WaitBound: bound, queues: map[string][]*work.Task{}, expected: map[string]*expected{}, Prompt: func(string) bool { return false }}
 }
 
 // Reset empties the queues.
@@ -90,6 +93,7 @@
 func fits(t *work.Task, h *agents.Host) bool {
 	d := t.Job.Desc
 	cpus, cards, memory := h.Free()
+	cpus, cards, memory = cpus-h.KeptCPUs, cards-h.KeptCards, memory-h.KeptMemory
 	return d.CPUs <= cpus+slack && d.Cards <= cards+slack && d.MemoryGB <= memory+slack &&
 		t.Avoid != h.ID && Allowed(t, h)
 }
@@ -142,6 +146,7 @@
 	p.clean(r)
 	p.reorder(r)
 	p.muster(r)
+	p.keepWarm(r)
 	p.pull(r)
 	p.arrive(r)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -422,6 +422,17 @@
 	}
 }
 
+// Prompt tells whether the users expect the tasks of a class to start so soon that
+// a machine that is rented when they come is too late.
+func (s *Settings) Prompt(class string) bool {
+	for _, o := range s.Deployment.Objectives {
+		if o.Kind == "wait" && o.Class == class && o.WithinS < tuning.PromptWithin.Seconds() {
+			return true
+		}
+	}
+	return false
+}
+
 // WaitBound is the longest wait in the extra queue before a task goes first.
 func (s *Settings) WaitBound() time.Duration {
 	if v := s.Operator.WaitBoundS; v != nil {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -241,6 +241,17 @@
 	// GangKeep is how long an idle machine is kept when a gang waits for several
 	// like it: as long as others may take to be had and to boot.
 	GangKeep = 100 * time.Second
+	// GangSpare is how many gangs of a class there is room kept for, as large as
+	// the largest of late, while some come: the users expect them to start within
+	// seconds, and a machine takes half a minute to boot. GangWarm is how long
+	// after the last one.
+	GangSpare = 2
+	GangWarm  = 90 * time.Second
+	// PromptWithin is the wait below which a class is one of those.
+	PromptWithin = 20 * time.Second
+	// GangFew is what each further machine of a gang counts dearer: it runs at
+	// the speed of the slowest.
+	GangFew = 0.1
 	// GangTorn is how long a gang of which a part is with a block and a part
 	// came back is taken for one that is coming back.
 	GangTorn = 5 * time.Second
--- a/internal/work/gang.go
+++ b/internal/work/gang.go
@@ -28,6 +28,8 @@
 	Done bool
 	// Short counts the attempts in a row that were never complete.
 	Short int
+	// Cold counts the placements on machines without the image.
+	Cold int
 	// Enqueued is since when it has waited for machines.
 	Enqueued time.Duration
 }
