--- a/internal/agents/table_test.go
+++ b/internal/agents/table_test.go
@@ -26,7 +26,8 @@
 	job    *work.Job
 	calls  []call // direct orders on their way
 	gone   func(*work.Task)
-	away   bool // reports are turned away
+	away   bool   // reports are turned away
+	phase  string // of the tasks in reports, "" for running
 	worker struct {
 		shift, tick, token uint64
 		leased             time.Duration
@@ -105,7 +106,11 @@
 	w.tick++
 	r := &Report{Host: "vm-1", Addr: "w:1", Build: "g8", Shift: w.shift, Tick: w.tick, Token: w.token}
 	for ref, attempt := range w.tasks {
-		r.Tasks = append(r.Tasks, Listed{Task: ref, Attempt: attempt, Phase: "running"})
+		phase := b.phase
+		if phase == "" {
+			phase = "running"
+		}
+		r.Tasks = append(r.Tasks, Listed{Task: ref, Attempt: attempt, Phase: phase})
 	}
 	return r
 }
