--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -34,7 +34,7 @@
 				x = &expected{}
 				p.expected[class] = x
 			}
-			x.desc, x.tasks, x.at = j.Desc, max(x.tasks, len(j.Tasks)), now
+			x.desc, x.tasks, x.at, x.like = j.Desc, max(x.tasks, len(j.Tasks)), now, nil
 		}
 	}
 }
@@ -45,6 +45,7 @@
 	desc  *jobs.Description // of the newest
 	tasks int               // of the largest of late
 	at    time.Duration
+	like  []*work.Task // as many, to look for room with
 }
 
 // keepWarm keeps room for gangs to come from other work, in one zone each if they
@@ -64,7 +65,12 @@
 	slices.Sort(classes)
 	for _, class := range classes {
 		x := p.expected[class]
-		j := &work.Job{Desc: x.desc}
+		if x.like == nil {
+			j := &work.Job{Desc: x.desc}
+			for range x.tasks {
+				x.like = append(x.like, &work.Task{Job: j})
+			}
+		}
 		zones := []string{""}
 		if x.desc.OneZone {
 			zones = nil
@@ -78,11 +84,10 @@
 		for range tuning.GangSpare {
 			var best []*agents.Host
 			for _, zone := range zones {
-				tasks := make([]*work.Task, x.tasks)
-				for i := range tasks {
-					tasks[i] = &work.Task{Job: j, Zone: zone}
+				for _, t := range x.like {
+					t.Zone = zone
 				}
-				hosts := p.fit(r.free, tasks, func(*agents.Host) bool { return true }, unkept)
+				hosts := p.fit(r.free, x.like, func(*agents.Host) bool { return true }, unkept)
 				if hosts != nil && (best == nil || nearness(hosts[0], x.desc.Image) < nearness(best[0], x.desc.Image)) {
 					best = hosts
 				}
@@ -183,55 +188,57 @@
 // takes the most. Tasks on few machines have like speeds, and a gang runs at that
 // of its slowest machine.
 func (p *Planner) fit(hosts []*agents.Host, tasks []*work.Task, usable func(*agents.Host) bool, room func(*work.Task, *agents.Host) int) []*agents.Host {
-	image := tasks[0].Job.Desc.Image
-	left := map[*agents.Host]int{}
-	near := map[*agents.Host]int{}
-	var open []*agents.Host
-	for _, h := range hosts {
-		if n := room(tasks[0], h); n > 0 && usable(h) {
-			left[h], near[h] = n, nearness(h, image)
-			open = append(open, h)
-		}
+	type seat struct {
+		host       *agents.Host
+		left, near int
 	}
+	image := tasks[0].Job.Desc.Image
 	found := make([]*agents.Host, len(tasks))
-	for zone, todo := range byZone(tasks) {
+	for _, todo := range byZone(tasks) {
+		var open []*seat
+		sum, picky := 0, false
+		for _, i := range todo {
+			picky = picky || tasks[i].Avoid != "" || len(tasks[i].Tried) > 0
+		}
+		for _, h := range hosts {
+			if !Allowed(tasks[todo[0]], h) || !usable(h) {
+				continue
+			}
+			if n := room(tasks[0], h); n > 0 {
+				open = append(open, &seat{h, n, nearness(h, image)})
+				sum += n
+			}
+		}
+		if sum < len(todo) {
+			return nil
+		}
 		for len(todo) > 0 {
-			var best *agents.Host
+			var best *seat
 			most := 0 // that best can take of them
-			for _, h := range open {
-				if left[h] == 0 || (zone != "" && h.Zone != zone) {
-					continue
-				}
-				n := 0
-				for _, i := range todo {
-					if n < left[h] && !barred(tasks[i], h) {
-						n++
+			for _, s := range open {
+				n := min(s.left, len(todo))
+				if picky {
+					able := 0
+					for _, i := range todo {
+						if !barred(tasks[i], s.host) {
+							able++
+						}
 					}
+					n = min(n, able)
 				}
-				if n == 0 {
-					continue
-				}
-				better := best == nil
-				if !better && near[h] != near[best] {
-					better = near[h] < near[best]
-				} else if !better && n != most {
-					better = n > most
-				} else if !better {
-					better = left[h] < left[best]
-				}
-				if better {
-					best, most = h, n
+				if n > 0 && (best == nil || s.near < best.near || (s.near == best.near && (n > most || (n == most && s.left < best.left)))) {
+					best, most = s, n
 				}
 			}
 			if best == nil {
 				return nil
 			}
 			todo = slices.DeleteFunc(todo, func(i int) bool {
-				if left[best] == 0 || barred(tasks[i], best) {
+				if best.left == 0 || barred(tasks[i], best.host) {
 					return false
 				}
-				found[i] = best
-				left[best]--
+				found[i] = best.host
+				best.left--
 				return true
 			})
 		}
