--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -45,6 +45,7 @@
 	peers   map[string]string // endpoints by node
 
 	lastBeat time.Duration         // from any worker, for any block
+	vain     int                   // times in a row that blocks were given up without one
 	sent     map[string]redirected // workers sent to their owners
 	telling  []bool
 	shared   time.Duration // when a peer last said that it has no answers either
@@ -184,11 +185,15 @@
 		deaf, hearing, up = deaf+d, hearing+all-d, up+all
 		n.tell(b)
 	}
-	if up > 0 && (now-n.lastBeat > n.set.DeafAfter(up) || deaf > hearing) {
+	if up > 0 && (now-n.lastBeat > n.set.DeafAfter(up)<<min(n.vain, tuning.VainMost) || deaf > hearing) {
 		// Not one report for any block, or nobody hears the answers: it is
-		// this node that is cut off, not every machine that has died.
+		// this node that is cut off, not every machine that has died. If they
+		// have all died after all, the next owner hears none either, and the
+		// block went round for ever before any lease could run out: the longer
+		// it does, the longer it is kept.
 		n.office.GiveUp()
 		n.lastBeat = now
+		n.vain++
 	}
 	n.leader.Wake()
 	n.compare()
@@ -273,7 +278,7 @@
 		// A worker whose reports are passed on reaches this node too. Not to
 		// count it made owners give up their blocks after a restart, when
 		// all workers still reported through another node.
-		n.lastBeat = n.rt.Now()
+		n.lastBeat, n.vain = n.rt.Now(), 0
 		status, reply := o.table.Report(r)
 		o.wanted = true
 		answer(reply, status == 200)
@@ -335,7 +340,7 @@
 		return
 	}
 	now := n.rt.Now()
-	n.lastBeat = now
+	n.lastBeat, n.vain = now, 0
 	b := work.BlockOf(r.Host, len(n.owners))
 	o := n.owners[b]
 	if n.answering(o) {
--- a/internal/controller/gang_test.go
+++ b/internal/controller/gang_test.go
@@ -374,3 +374,42 @@
 	w.run(200 * time.Second)
 	w.check(t)
 }
+
+// TestLoneMachineDies guards against a fault of a generated day: the only machine
+// died, every owner heard nothing and gave the block up, the next one likewise,
+// and no lease ever ran out: the work on it waited for ever.
+func TestLoneMachineDies(t *testing.T) {
+	w := newWorld(37)
+	j := &simJob{id: "wk-000001", team: "red", tasks: 3, cpus: 1, length: 60 * time.Second, spot: true, done: map[int]bool{}}
+	w.after(time.Second, func() { w.user(j, 0) })
+	w.run(15 * time.Second)
+	// Every node owns the block once and hears the machine.
+	owned := map[string]bool{}
+	for w.now < 150*time.Second && len(owned) < 3 {
+		w.run(w.now + 500*time.Millisecond)
+		for _, n := range w.nodes {
+			for _, h := range n.node.owners[0].table.All() {
+				if n.node.owning() && h.Up {
+					owned[n.name] = true
+				}
+			}
+		}
+		for _, n := range w.nodes {
+			w.cut["workers|"+n.name] = owned[n.name] && len(owned) < 3
+			for _, o := range w.nodes {
+				if o != n {
+					w.cut[n.name+"|"+o.name] = len(owned) < 3 // so that no report is passed on
+				}
+			}
+		}
+	}
+	if len(owned) < 3 {
+		t.Fatalf("only %v have owned the block", owned)
+	}
+	clear(w.cut)
+	for _, k := range w.cloud.workers {
+		k.die()
+	}
+	w.run(w.now + 150*time.Second)
+	w.check(t)
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -37,6 +37,9 @@
 	DeafIntervals = 2.5
 	DeafSlack     = 1500 * time.Millisecond
 	ManyHosts     = 10
+	// VainMost is how often that time doubles while the node hears none either
+	// when the block comes back to it: sixteen times is longer than any lease.
+	VainMost = 4
 	// FirstAssign is how long a new leader waits for controllers to enrol
 	// before it leases blocks to them.
 	FirstAssign = 400 * time.Millisecond
