--- a/internal/lead/gang.go
+++ b/internal/lead/gang.go
@@ -297,7 +297,7 @@
 		case b.holds(p, demands, block, up):
 			b.hold(p, demands, block)
 			continue
-		case whole:
+		case whole && l.rt.Now()-p.handed > tuning.GangHold: // not to and fro
 			if _, other, ok := l.find(b, &plan{e: p.e, desc: p.desc, zones: p.zones}, n, up); ok && other != block || ok && p.desc.OneZone {
 				l.recall(p, block, n)
 				continue
