--- a/internal/lead/gang.go
+++ b/internal/lead/gang.go
@@ -361,6 +361,10 @@
 		classes = append(classes, class)
 	}
 	slices.Sort(classes)
+	most := 0.0
+	for _, cpus := range b.cpus {
+		most += tuning.GangSpareShare * cpus
+	}
 	for _, class := range classes {
 		x := l.expected[class]
 		zones := []string{""}
@@ -368,6 +372,9 @@
 			zones = l.fleet.AllZones(x.desc)
 		}
 		for range tuning.GangSpare {
+			if most -= float64(x.tasks) * x.desc.CPUs; most < 0 {
+				return
+			}
 			if l.keep(b, x, zones) || len(zones) == 0 {
 				continue
 			}
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -132,7 +132,12 @@
 			if taken == n {
 				break
 			}
-			k := min(s.rooms[i].fit(p.desc), n-taken)
+			r := &s.rooms[i]
+			k := r.fit(p.desc)
+			if p.starved { // has waited too long to leave room for others
+				k = fit(p.desc, r.cpus, r.cards, r.memory)
+			}
+			k = min(k, n-taken)
 			if k == 0 {
 				continue
 			}
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -51,8 +51,10 @@
 // keepWarm keeps room for gangs to come from other work, in one zone each if they
 // must be, as the leader does when it hands work out.
 func (p *Planner) keepWarm(r *round) {
+	most := 0.0
 	for _, h := range r.open {
 		h.KeptCPUs, h.KeptCards, h.KeptMemory = 0, 0, 0
+		most += tuning.GangSpareShare * h.Type.CPUs
 	}
 	classes := make([]string, 0, len(p.expected))
 	for class, x := range p.expected {
@@ -82,6 +84,9 @@
 			slices.Sort(zones)
 		}
 		for range tuning.GangSpare {
+			if most -= float64(x.tasks) * x.desc.CPUs; most < 0 {
+				return
+			}
 			var best []*agents.Host
 			for _, zone := range zones {
 				for _, t := range x.like {
--- a/internal/placement/gang_test.go
+++ b/internal/placement/gang_test.go
@@ -135,7 +135,10 @@
 // TestRoomForGangsToCome: after a gang, other work leaves room for the next, which
 // then starts at once; when none has come for a while it gets all room.
 func TestRoomForGangsToCome(t *testing.T) {
-	y := newGangYard(large)
+	y := newGangYard(large, large, large, large, large, large)
+	for _, h := range y.hosts[1:] {
+		h.CPUs = h.Type.CPUs // in use
+	}
 	y.Prompt = func(string) bool { return true }
 	first := y.gang(1, "x", 2, 4)
 	y.round()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -89,11 +89,21 @@
 
 const slack = 1e-9 // sums of decimal amounts are not exact
 
-// fits tells whether a machine may take a task now.
+// fits tells whether a machine may take a task now, without what is kept for
+// gangs to come.
 func fits(t *work.Task, h *agents.Host) bool {
-	d := t.Job.Desc
 	cpus, cards, memory := h.Free()
-	cpus, cards, memory = cpus-h.KeptCPUs, cards-h.KeptCards, memory-h.KeptMemory
+	return holds(t, h, cpus-h.KeptCPUs, cards-h.KeptCards, memory-h.KeptMemory)
+}
+
+// fitsAtAll is the same with what is kept.
+func fitsAtAll(t *work.Task, h *agents.Host) bool {
+	cpus, cards, memory := h.Free()
+	return holds(t, h, cpus, cards, memory)
+}
+
+func holds(t *work.Task, h *agents.Host, cpus, cards, memory float64) bool {
+	d := t.Job.Desc
 	return d.CPUs <= cpus+slack && d.Cards <= cards+slack && d.MemoryGB <= memory+slack &&
 		t.Avoid != h.ID && Allowed(t, h)
 }
@@ -353,7 +363,7 @@
 	serve := func(t *work.Task, over jobs.Priority) {
 		var best *agents.Host
 		for _, h := range r.free {
-			if _, taken := r.kept[h]; !taken && fits(t, h) {
+			if _, taken := r.kept[h]; !taken && (fits(t, h) || (r.starved(t.Job) && fitsAtAll(t, h))) {
 				best = h
 				break
 			}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -250,6 +250,9 @@
 	// after the last one.
 	GangSpare = 2
 	GangWarm  = 90 * time.Second
+	// GangSpareShare is the most of all processors that are kept so: with few
+	// machines it would be most of what large tasks have.
+	GangSpareShare = 0.1
 	// PromptWithin is the wait below which a class is one of those.
 	PromptWithin = 20 * time.Second
 	// GangFew is what each further machine of a gang counts dearer: it runs at
