--- a/internal/agents/table_test.go
+++ b/internal/agents/table_test.go
@@ -20,15 +20,19 @@
 // bench is a table with one machine: its runtime, office, shelf and worker. The
 // worker keeps the protocol: sessions, leases, tokens, attempts.
 type bench struct {
-	now    time.Duration
-	token  uint64
-	table  *Table
-	job    *work.Job
-	calls  []call // direct orders on their way
-	gone   func(*work.Task)
-	away   bool   // reports are turned away
-	phase  string // of the tasks in reports, "" for running
-	worker struct {
+	now   time.Duration
+	token uint64
+	table *Table
+	job   *work.Job
+	calls []call // direct orders on their way
+	gone  func(*work.Task)
+	away  bool   // reports are turned away
+	phase string // of the tasks in reports, "" for running
+	// Of cancellations: when the user was told, 0 for never, and up to when the owner
+	// knows of them; knows: it rests on that.
+	off, proven time.Duration
+	knows       bool
+	worker      struct {
 		shift, tick, token uint64
 		leased             time.Duration
 		tasks              map[string]uint64 // attempts of running tasks
@@ -51,19 +55,25 @@
 	b.calls = append(b.calls, call{c.Body, fn})
 }
 
-func (b *bench) Token() uint64                             { return b.token }
-func (b *bench) Valid() bool                               { return true }
-func (b *bench) Answering() bool                           { return !b.away }
-func (b *bench) Renew()                                    { b.term() }
-func (b *bench) Fresh(time.Duration) bool                  { return true }
-func (b *bench) AnsweredBefore() time.Duration             { return 0 }
-func (b *bench) CancelledFor(string) (time.Duration, bool) { return 0, false }
-func (b *bench) IsLoaded() bool                            { return true }
-func (b *bench) Job(string) *work.Job                      { return b.job }
-func (b *bench) Jobs(fn func(*work.Job))                   { fn(b.job) }
-func (b *bench) Changed(*work.Task, bool)                  {}
-func (b *bench) TaskDone(t *work.Task)                     { t.State = work.Done }
-func (b *bench) Drop(t *work.Task)                         { t.State = work.Dropped }
+func (b *bench) Token() uint64 { return b.token }
+func (b *bench) Valid() bool   { return true }
+func (b *bench) Answering() bool {
+	return !b.away && (!b.knows || b.now < b.proven+b.table.set.AnswerWithin())
+}
+func (b *bench) Renew() { b.term() }
+func (b *bench) Fresh(since time.Duration) bool {
+	return !b.knows || (b.proven >= since && b.now-b.proven <= tuning.LaunchFresh)
+}
+func (b *bench) AnsweredBefore() time.Duration { return 0 }
+func (b *bench) CancelledFor(string) (time.Duration, bool) {
+	return b.now - b.off, b.job.Cancelled
+}
+func (b *bench) IsLoaded() bool           { return true }
+func (b *bench) Job(string) *work.Job     { return b.job }
+func (b *bench) Jobs(fn func(*work.Job))  { fn(b.job) }
+func (b *bench) Changed(*work.Task, bool) {}
+func (b *bench) TaskDone(t *work.Task)    { t.State = work.Done }
+func (b *bench) Drop(t *work.Task)        { t.State = work.Dropped }
 func (b *bench) term() {
 	b.token++
 	b.table.End()
@@ -517,3 +527,94 @@
 		t.Error("it has not reported since, and does not count as silent")
 	}
 }
+
+// TestCancelledIsGoneInTime: whatever is lost, late or repeated, and however long the
+// owner goes without a proof or another one takes over, no task of a job is on its
+// machine, nor can an order on its way start it, longer than cancel_s after its user
+// was told that it is cancelled.
+func TestCancelledIsGoneInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(3)
+		b.knows, b.proven = true, b.now
+		limit := time.Duration(b.table.set.Deployment.Workers.CancelS * float64(time.Second))
+		var late []call
+		var copies []*Report
+		check := func(what string) {
+			b.expire()
+			if b.off > 0 && b.now > b.off+limit && len(b.worker.tasks) > 0 {
+				t.Fatalf("%s: %v is on the machine %v after", what, b.worker.tasks, b.now-b.off)
+			}
+		}
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			b.now += time.Duration(rapid.SampledFrom([]int{1, 300, 1500, 4000, 9000}).Draw(t, "ms")) * time.Millisecond
+			check("time")
+			switch rapid.IntRange(0, 10).Draw(t, "step") {
+			case 0, 1, 2:
+				sent, r := b.now, b.report()
+				copies = append(copies, r)
+				if !b.Answering() {
+					continue
+				}
+				status, body := b.table.Report(r)
+				if status == 200 && rapid.IntRange(0, 3).Draw(t, "answer lost") > 0 {
+					b.hear(body, r.Shift, sent)
+				}
+			case 3:
+				if len(copies) > 0 && b.Answering() {
+					b.table.Report(copies[rapid.IntRange(0, len(copies)-1).Draw(t, "copy")])
+				}
+			case 4:
+				for _, k := range b.job.Tasks {
+					if h := b.table.Get("vm-1"); h != nil && b.table.Open(h) && k.State == work.Waiting && !k.Job.Cancelled {
+						b.table.Place(k, h)
+						k.Durable = true
+						b.table.Launchable(k)
+					}
+				}
+				b.table.Settle()
+			case 5, 6:
+				if len(b.calls) == 0 {
+					continue
+				}
+				c := b.calls[0]
+				b.calls = b.calls[1:]
+				switch rapid.IntRange(0, 3).Draw(t, "fate") {
+				case 0:
+					c.fn(b.deliver(c), nil)
+				case 1:
+					b.deliver(c)
+					c.fn(httpwire.Answer{}, engine.ErrNoAnswer)
+				case 2:
+					late = append(late, c)
+					c.fn(httpwire.Answer{}, engine.ErrNoAnswer)
+				case 3:
+					c.fn(httpwire.Answer{}, engine.ErrNotSent)
+				}
+			case 7:
+				if len(late) > 0 {
+					b.deliver(late[0])
+					late = late[1:]
+				}
+			case 8:
+				b.table.Tick()
+			case 9: // the user cancels, at any node
+				if b.off == 0 && len(b.worker.tasks) > 0 {
+					b.off = b.now
+				}
+			case 10: // the owner has its knowledge proven; perhaps it is another one
+				b.proven = b.now
+				if b.off > 0 && !b.job.Cancelled {
+					b.job.Cancelled = true
+					b.table.Cancel(b.job)
+				}
+				if rapid.IntRange(0, 4).Draw(t, "another term") == 0 {
+					for _, k := range b.job.Tasks {
+						k.Flying, k.Doubt, k.Shift, k.Tick, k.Seen = false, false, 0, 0, false
+					}
+					b.term()
+				}
+			}
+			check("step")
+		}
+	})
+}
--- a/internal/ledger/mirror.go
+++ b/internal/ledger/mirror.go
@@ -32,6 +32,9 @@
 	epoch  uint64
 	ready  bool
 	life   int // grows with every full reading; late answers of old ones are dropped
+	// reading: the rows are being read anew. A check answered meanwhile would move
+	// the copy on, and the listing, which is older, back again.
+	reading bool
 
 	next time.Duration // when the watch may be opened again, see rest
 
@@ -72,6 +75,7 @@
 
 func (m *Mirror) read(try int) {
 	m.life++
+	m.reading = true
 	life := m.life
 	asked := m.rt.Now()
 	m.led.List(m.prefix, func(rows []Row, epoch uint64, out Outcome) {
@@ -94,7 +98,7 @@
 		for _, r := range rows {
 			m.Apply(r.Key, r.Value, r.Stamp)
 		}
-		m.epoch, m.ready = epoch, true
+		m.epoch, m.ready, m.reading = epoch, true, false
 		m.prove(asked)
 		if m.Taken != nil {
 			m.Taken()
@@ -171,7 +175,7 @@
 // Check calls fn once the mirror is proven to hold everything that was
 // committed before the call, or with ErrNotProven. Calls share requests.
 func (m *Mirror) Check(fn func(error)) {
-	if !m.ready {
+	if !m.ready || m.reading {
 		fn(ErrNotProven)
 		return
 	}
@@ -182,7 +186,7 @@
 // Prove sees to it that the mirror is proven current, by a request sent from now on,
 // if it was not within age. Asked again before that has left, it asks no more.
 func (m *Mirror) Prove(age time.Duration) {
-	if !m.ready || (m.known && m.rt.Now()-m.proven < age) || len(m.waiting) > 0 {
+	if !m.ready || m.reading || (m.known && m.rt.Now()-m.proven < age) || len(m.waiting) > 0 {
 		return
 	}
 	m.Check(func(error) {})
@@ -213,6 +217,12 @@
 	}
 	waiting := m.waiting
 	m.waiting = nil
+	if m.reading { // it has begun since they asked
+		for _, fn := range waiting {
+			fn(ErrNotProven)
+		}
+		return
+	}
 	m.checking, m.checked, m.lastCheck = true, true, m.rt.Now()
 	life, asked := m.life, m.lastCheck
 	m.led.Watch(m.prefix, m.epoch, 0, func(events []Event, epoch uint64, out Outcome) {
--- a/internal/ledger/mirror_test.go
+++ b/internal/ledger/mirror_test.go
@@ -195,3 +195,97 @@
 		t.Errorf("waits %v for a quick service, %v for a slow one", quick, slow)
 	}
 }
+
+// TestProvenHoldsAllBefore: whatever is lost, late or forgotten by the service, a copy
+// holds everything that was written before the moment that it calls proven; a watch
+// that was open for long proves nothing of that time.
+func TestProvenHoldsAllBefore(t *testing.T) {
+	type written struct {
+		at    time.Duration
+		value string
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		s := newStore()
+		led := New(s, "state", slog.New(slog.DiscardHandler))
+		m := NewMirror(s, led, "a/")
+		have, log := map[string]string{}, map[string][]written{}
+		m.Apply = func(key string, value json.RawMessage, _ uint64) { have[key] = string(value) }
+		m.Reset = func([]Row) { clear(have) }
+		m.Start()
+		proofs := 0
+		var last time.Duration
+		for range rapid.IntRange(5, 150).Draw(t, "steps") {
+			s.now += time.Millisecond
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				key, value := fmt.Sprintf("a/%d", rapid.IntRange(0, 4).Draw(t, "key")), rapid.SampledFrom([]string{"1", "2", "3", ""}).Draw(t, "value")
+				if _, there := s.values[key]; value != "" || there {
+					s.set(key, value)
+					log[key] = append(log[key], written{s.now, value})
+				}
+			case 2:
+				m.Prove(time.Duration(rapid.IntRange(0, 300).Draw(t, "age")) * time.Millisecond)
+			case 3:
+				if rapid.IntRange(0, 4).Draw(t, "forget") == 0 {
+					s.oldest = s.epoch
+				}
+			default:
+				if len(s.calls) > 1 && rapid.Bool().Draw(t, "overtaken") {
+					s.calls[0], s.calls[1] = s.calls[1], s.calls[0]
+				}
+				s.step(rapid.IntRange(0, 5).Draw(t, "lost") == 0)
+			}
+			at, known := m.Proven()
+			if !known {
+				continue
+			}
+			if at > last {
+				proofs, last = proofs+1, at
+			}
+			for key, values := range log {
+				ok := false
+				for i, w := range values {
+					// The newest before the moment, or any later one.
+					ok = ok || (have[key] == w.value && (w.at >= at || i == len(values)-1 || values[i+1].at >= at))
+				}
+				if !ok && values[0].at < at {
+					t.Fatalf("proven at %v, but %s is %q of %v", at, key, have[key], values)
+				}
+			}
+		}
+	})
+}
+
+// TestReadingAnewDoesNotGoBack guards against a fault that generated inputs found: while
+// the rows were read anew, a check moved the copy past the listing's epoch and proved
+// it, and the listing took it back.
+func TestReadingAnewDoesNotGoBack(t *testing.T) {
+	s := newStore()
+	m := NewMirror(s, New(s, "state", slog.New(slog.DiscardHandler)), "a/")
+	have := map[string]string{}
+	m.Apply = func(key string, value json.RawMessage, _ uint64) { have[key] = string(value) }
+	m.Reset = func([]Row) { clear(have) }
+	for i := range 3 { // two pages
+		s.set(fmt.Sprintf("a/%d", i), "1")
+	}
+	m.Start()
+	s.step(false)
+	s.step(false)
+	s.oldest = 9 // the history is gone
+	s.step(false)
+	s.step(false) // the first page of the new listing
+	s.oldest = 0
+	s.set("a/0", "2")
+	proven := false
+	m.Check(func(err error) { proven = err == nil })
+	for len(s.calls) > 1 { // the check first, if it has been sent
+		s.calls = append(s.calls[1:], s.calls[0])
+		s.step(false)
+	}
+	for range 3 {
+		s.step(false)
+		if proven && have["a/0"] != "2" {
+			t.Fatalf("proven current, then back at %v", have)
+		}
+	}
+}
