--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -64,9 +64,10 @@
 	missed  time.Duration // when an order last went unanswered
 	Failed  int           // tasks that failed here since one ran well
 	FailedJ map[string]bool
-	flying  bool // a direct order is under way
-	ask     bool // how its tasks are is to be asked directly
-	inLine  bool // to be told of the token
+	flying  bool    // a direct order is under way
+	ends    []Order // halts that an answer may not carry, see Table.outlives
+	ask     bool    // how its tasks are is to be asked directly
+	inLine  bool    // to be told of the token
 	images  Cache
 }
 
@@ -512,6 +513,7 @@
 		for k := range h.Tasks {
 			if k.Sent {
 				if k.Job.Cancelled && now-k.Halted >= tuning.HaltEvery {
+					t.Greet(h.ID, h.Addr) // if it has not seen the token
 					t.ready[h] = true
 				}
 				t.move(h, k, now)
@@ -664,7 +666,13 @@
 	}
 	orders := t.read(h, r, true)
 	t.listen(h)
-	if h.Deaf || t.outlives(h, r) {
+	h.ends = nil
+	outlives := t.outlives(h, r)
+	if outlives {
+		h.ends = t.cancelled(r) // they go directly, tasks that the records do not have too
+		t.ready[h] = true
+	}
+	if h.Deaf || outlives {
 		// Not answered, so that its lease surely runs from the last answer
 		// that it can have heard, and its tasks are settled by that.
 		return 503, Unreachable
@@ -1024,6 +1032,7 @@
 			break
 		}
 	}
+	msg.Orders, h.ends = append(msg.Orders, h.ends...), nil
 	if len(msg.Orders) == 0 && !h.ask {
 		return
 	}
