--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -408,6 +408,43 @@
 	}
 }
 
+// TestManyJobsAtTheStart guards against a fault of a platform whose machines are up at
+// the start: the submissions of hundreds of jobs took all changes that the state
+// service allows, nothing was handed out for half a minute, and the machines went back
+// as idle while others were rented for the work that waited.
+func TestManyJobsAtTheStart(t *testing.T) {
+	w := newWorld(14)
+	w.writes = 12
+	w.set.Deployment.State.WriteRPS = 12
+	for i := range w.set.Deployment.Teams {
+		w.set.Deployment.Teams[i].CPUsMax = 24
+	}
+	w.reboot()
+	for range 10 {
+		w.cloud.next++
+		k := w.cloud.machine("small", "a", false)
+		w.after(0, k.boot)
+	}
+	for i := range 160 {
+		j := &simJob{id: fmt.Sprintf("wk-%06d", i), team: []string{"red", "blue"}[i%2], tasks: 1, cpus: 1, length: 60 * time.Second, expect: 60, urgent: true, done: map[int]bool{}}
+		w.after(time.Duration(i)*20*time.Millisecond, func() { w.user(j, 0) })
+	}
+	w.run(22 * time.Second)
+	running := w.used("red") + w.used("blue")
+	w.run(40 * time.Second)
+	for _, k := range w.cloud.workers[:10] {
+		if k.released {
+			t.Errorf("%s has been returned while work waited", k.host)
+		}
+	}
+	if running < 38 {
+		t.Errorf("%g processors of 40 are used after 22 s", running)
+	}
+	for _, b := range w.broken {
+		t.Error(b)
+	}
+}
+
 // TestBadLayoutStopsAll: a stored number of blocks that makes no sense is never
 // guessed at: nothing is led, owned or accepted until it is put right.
 func TestBadLayoutStopsAll(t *testing.T) {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -686,11 +686,7 @@
 	for range n {
 		c.next++
 		c.room--
-		k := &worker{w: c.w, host: fmt.Sprintf("vm-%06d", c.next), build: h.Build, zone: h.Zone, spot: h.Spot, rented: c.w.now, shift: 1}
-		k.addr = fmt.Sprintf("w%d:1", c.next)
-		k.cpus = map[string]float64{"small": 4, "big": 16}[h.Build]
-		c.workers = append(c.workers, k)
-		c.w.workers[k.addr] = k
+		k := c.machine(h.Build, h.Zone, h.Spot)
 		names = append(names, k.host)
 		boot := time.Duration(1+c.w.rng.IntN(4)) * time.Second
 		if c.w.swift {
@@ -702,6 +698,16 @@
 	return answer(200, map[string]any{"hosts": names})
 }
 
+// machine is a new one, not up yet.
+func (c *simCloud) machine(build, zone string, spot bool) *worker {
+	k := &worker{w: c.w, host: fmt.Sprintf("vm-%06d", c.next), build: build, zone: zone, spot: spot, rented: c.w.now, shift: 1}
+	k.addr = fmt.Sprintf("w%d:1", c.next)
+	k.cpus = map[string]float64{"small": 4, "big": 16}[build]
+	c.workers = append(c.workers, k)
+	c.w.workers[k.addr] = k
+	return k
+}
+
 // worker is one machine's worker, by the protocol's words.
 type worker struct {
 	w                        *world
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -194,6 +194,7 @@
 	begun    time.Duration
 	since    time.Duration // when this node could begin to act, this time
 	listed   bool          // the machine list has been read in this term
+	stalled  time.Duration // when there was last work that could not be handed out for want of changes
 	flying   map[string]hire
 	tokens   float64
 	filled   time.Duration
@@ -303,7 +304,7 @@
 	f.term++
 	f.begun = f.rt.Now()
 	f.since = f.begun
-	f.listed, f.counter = false, 0
+	f.listed, f.counter, f.stalled = false, 0, 0
 	clear(f.machines)
 	clear(f.flying)
 	clear(f.words)
@@ -596,6 +597,10 @@
 	}
 }
 
+// Stalled tells that there is room for work which the state service's limits keep from
+// being handed out: idle machines are about to be used.
+func (f *Fleet) Stalled() { f.stalled = f.rt.Now() }
+
 // Want tells for which tasks there is no room.
 func (f *Fleet) Want(needs []Need) { f.needs = needs }
 
@@ -686,7 +691,7 @@
 		}
 		// Idle in an outage, when nothing could be handed out, says nothing of
 		// what is needed: most machines went back just when it was over.
-		if m.idles(f) && now-max(m.idle, f.since) > keep && !(f.awaited(m) && now-m.idle < tuning.GangKeep) {
+		if m.idles(f) && now-max(m.idle, f.since) > keep && !(f.stalled > 0 && now-f.stalled < tuning.StallKeep) && !(f.awaited(m) && now-m.idle < tuning.GangKeep) {
 			m.drain = "idle" // its owner agrees, then gives it back
 			idle--
 		}
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -35,7 +35,9 @@
 	began   time.Duration // the newest of those
 	resting bool          // after a refused one
 	timed   bool
-	most    int // submissions in a commit; few while changes are scarce
+	most    int           // submissions in a commit; few while changes are scarce
+	budget  float64       // of changes, while they are scarce
+	filled  time.Duration // when that was last looked at
 	pending map[string]*creation
 }
 
@@ -173,11 +175,30 @@
 		}
 		return
 	}
+	most := d.most
+	if rate := d.rate(); d.led.Scarce() {
+		now := d.rt.Now()
+		d.budget = min(max(1, rate), d.budget+rate*(now-d.filled).Seconds())
+		d.filled = now
+		if d.budget < 1 {
+			if !d.timed {
+				d.timed = true
+				d.rt.After(time.Duration((1-d.budget)/rate*float64(time.Second))+time.Millisecond, func() {
+					d.timed = false
+					d.flush()
+				})
+			}
+			return
+		}
+		most = min(most, int(d.budget))
+	} else {
+		d.budget, d.filled = max(1, rate), d.rt.Now()
+	}
 	var batch []*creation
 	var guards []ledger.Guard
 	var sets []ledger.Change
 	size := 0
-	for len(d.queue) > 0 && len(batch) < d.most && size < tuning.CommitBytes {
+	for len(d.queue) > 0 && len(batch) < most && size < tuning.CommitBytes {
 		c := d.queue[0]
 		d.queue = d.queue[1:]
 		if d.rt.Now() >= c.expires {
@@ -195,6 +216,7 @@
 		return
 	}
 	d.flights++
+	d.budget -= float64(len(batch))
 	d.began = d.rt.Now()
 	d.led.Commit(guards, sets, func(r ledger.Result) {
 		d.flights--
@@ -259,6 +281,13 @@
 	})
 }
 
+// rate is this node's part of the changes a second for submissions while changes are
+// scarce: decisions come first.
+func (d *Desk) rate() float64 {
+	state := &d.set.Deployment.State
+	return max(0.5, state.WriteRPS*tuning.SubmitShare*d.led.Rate()/float64(len(d.set.Seeds)+1))
+}
+
 // finish answers all who wait for a submission; late is for those who asked after
 // it was sent.
 func (d *Desk) finish(c *creation, fn, late func(httpwire.Reply)) {
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -572,6 +572,7 @@
 	}
 	most := min(l.led.Ops(), max(1, int(l.set.Deployment.State.WriteRPS*tuning.WriteShare*l.led.Rate())))
 	if len(batches) > most {
+		l.fleet.Stalled()
 		for _, b := range batches[most:] {
 			l.takeBack(b)
 		}
@@ -619,6 +620,7 @@
 		case ledger.OK:
 			// The watch brings the records in.
 		case ledger.Refused:
+			l.fleet.Stalled()
 			// Where changes are scarce, a large commit finds none left again
 			// and again while small ones of others pass: half of it next. Not
 			// so if an earlier try may yet be carried out, whole.
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -81,6 +81,8 @@
 	rate       float64       // part of the changes a second that is used
 	rated      time.Duration // when that was last looked at
 	pressed    time.Duration // when it last gave way
+	scarce     time.Duration // when a commit was last refused for the changes a second
+	lacked     bool          // one has been
 }
 
 // Limits are what the state service allows.
@@ -108,6 +110,10 @@
 	return c.rate
 }
 
+// Scarce tells whether changes have been refused lately because there were too many
+// in a second.
+func (c *Client) Scarce() bool { return c.lacked && c.rt.Now()-c.scarce < tuning.ScarceFor }
+
 // press takes note of a refusal for the changes a second.
 func (c *Client) press() {
 	if now := c.rt.Now(); c.limits.Fall < 1 && now-c.pressed >= tuning.RateStep {
@@ -171,6 +177,7 @@
 			case 429, 503:
 				c.log.Debug("state service refuses", "target", target, "status", ans.Status)
 				if ans.Status == 429 && target == "/commit" {
+					c.scarce, c.lacked = c.rt.Now(), true
 					c.press()
 				}
 				fn(Refused, ans.Body)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -108,6 +108,15 @@
 	// WriteShare is the part of the state service's write budget that an
 	// owner's records may use; the rest is for submissions and cancellations.
 	WriteShare = 0.45
+	// SubmitShare is the part of the changes a second that the submissions of all
+	// nodes take while changes are scarce, which they are for ScarceFor after one
+	// was refused for it: decisions come before submissions. Without it three
+	// hundred jobs at once kept anything from being handed out for half a minute.
+	SubmitShare = 0.3
+	ScarceFor   = 3 * time.Second
+	// StallKeep is how long after a hand-out for which there were no changes idle
+	// machines are not idle: what they wait for is to come.
+	StallKeep = 5 * time.Second
 	// SweepEvery is the time between two removals of records of jobs that are
 	// over, and SweepShare the part of the changes that they take.
 	SweepEvery = 1 * time.Second
