--- /dev/null
+++ b/internal/fleet/exchange_test.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/settings"
+)
+
+// exchanging is a fleet of so many ordinary machines, of which the first few have work
+// that must be there; load tells how much of the rest is used at a moment.
+func exchanging(number, bound int, load func(time.Duration) float64) (rt *still, f *Fleet, step func()) {
+	rt = &still{now: time.Hour}
+	set := &settings.Settings{}
+	set.Deployment.Cloud.RPS = 4
+	f = New(rt, "", leading{}, set, slog.New(slog.DiscardHandler))
+	f.types = []jobs.MachineType{{Label: "g8", CPUs: 32, MemoryGB: 128, Price: 2, SpotPrice: 0.6, BootS: 30, Zones: []string{"a"}}}
+	f.since, f.listed = rt.now, true
+	start := rt.now
+	f.Load = func(host string) (cpus, movable float64) {
+		m, taking := f.machines[host], 0.0
+		for _, o := range f.machines {
+			if o.drain == "" {
+				taking++
+			}
+		}
+		// There is work for seven tenths of the first machines, spread over all.
+		use := 0.7 * 32 * float64(number) / taking * load(rt.now-start)
+		switch {
+		case m.kind.Spot:
+			return use, use
+		case m.addr == "bound":
+			return use, use / 2
+		}
+		return use, use
+	}
+	add := func(spot bool, addr string) {
+		id := fmt.Sprintf("vm-%06d", len(f.machines))
+		f.machines[id] = &machine{id: id, addr: addr, kind: Kind{"g8", "a", spot}, rented: rt.now, listed: true, known: true, state: HostState{ID: id, Up: true, Open: true, Busy: true}}
+	}
+	for i := range number {
+		add(false, map[bool]string{true: "bound", false: "free"}[i < bound])
+	}
+	job := &jobs.Description{CPUs: 4, MemoryGB: 8, Spot: true, EstimateS: 20}
+	return rt, f, func() {
+		rt.now += time.Second
+		f.words[0] = word{token: 1, seq: 1, heard: rt.now, since: start, any: true}
+		f.Want(nil, job)
+		f.exchange(f.term)
+		for i, c := range rt.calls { // what is rented is up at once
+			var h hire
+			if err := json.Unmarshal(c.Body, &h); err != nil {
+				panic(err)
+			}
+			for range h.Number {
+				add(h.Spot, "")
+			}
+			rt.answers[i](httpwire.Answer{Status: 200, Body: []byte(`{"hosts":[]}`)}, nil)
+			delete(f.pauses, h.kind())
+		}
+		rt.calls, rt.answers = nil, nil
+	}
+}
+
+// TestDearMachinesAreExchanged: work that may run on spot machines and is there all
+// the time moves to them; ordinary ones go when there is room for the most of late,
+// never those that other work needs.
+func TestDearMachinesAreExchanged(t *testing.T) {
+	_, f, step := exchanging(60, 10, func(time.Duration) float64 { return 1 })
+	for range 90 {
+		step()
+	}
+	spot, drained := 0, 0
+	for _, m := range f.machines {
+		switch {
+		case m.kind.Spot:
+			spot++
+		case m.drain != "":
+			drained++
+			if m.addr == "bound" {
+				t.Error("a machine goes that other work needs")
+			}
+		}
+	}
+	if spot < 30 || drained < 30 {
+		t.Errorf("%d spot machines rented, %d ordinary ones go", spot, drained)
+	}
+}
+
+// TestWavesAreNotExchanged: work that comes and goes within the time of a boot rents
+// nothing, and with few machines nothing is exchanged at all.
+func TestWavesAreNotExchanged(t *testing.T) {
+	wave := func(at time.Duration) float64 { return float64(int(at/(12*time.Second)) % 2) }
+	for name, n := range map[string]int{"waves": 60, "few": 15} {
+		load := wave
+		if name == "few" {
+			load = func(time.Duration) float64 { return 1 }
+		}
+		_, f, step := exchanging(n, 0, load)
+		for range 90 {
+			step()
+		}
+		if len(f.machines) != n {
+			t.Errorf("%s: %d machines of %d", name, len(f.machines), n)
+		}
+		for _, m := range f.machines {
+			if m.drain != "" {
+				t.Errorf("%s: %s goes", name, m.id)
+				break
+			}
+		}
+	}
+}
+
+// TestNeedsWaitBehindTheirRank: an urgent need is not taken to wait behind work of a
+// lower rank that was queued before it.
+func TestNeedsWaitBehindTheirRank(t *testing.T) {
+	rt := &still{now: time.Hour}
+	set := &settings.Settings{}
+	set.Deployment.Cloud.RPS = 4
+	f := New(rt, "", leading{}, set, slog.New(slog.DiscardHandler))
+	f.types = []jobs.MachineType{{Label: "g8", CPUs: 32, MemoryGB: 128, Price: 2, SpotPrice: 0.6, BootS: 30, Zones: []string{"a"}}}
+	low := &jobs.Description{CPUs: 4, MemoryGB: 8, Spot: true, EstimateS: 60, Urgency: "standard"}
+	high := &jobs.Description{CPUs: 1, MemoryGB: 2, EstimateS: 0, Shape: "daemon", Urgency: "urgent"}
+	f.Want([]Need{{Desc: low, Number: 100, Soft: 60, Hard: 60}, {Desc: high, Number: 4, Soft: 4, Hard: 4}}, nil)
+	f.rent(f.term)
+	ordinary := 0
+	for _, c := range rt.calls {
+		var h hire
+		if err := json.Unmarshal(c.Body, &h); err != nil {
+			t.Fatal(err)
+		}
+		if !h.Spot {
+			ordinary += h.Number
+		}
+	}
+	if ordinary != 1 {
+		t.Errorf("%d ordinary machines for four small replicas", ordinary)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -173,6 +173,10 @@
 
 // Fleet is the leader's view of the cloud.
 type Fleet struct {
+	// Load tells what the tasks on a machine take, and what of it could as well run
+	// on spot machines.
+	Load func(host string) (cpus, movable float64)
+
 	rt     engine.Runtime
 	addr   string
 	office Office
@@ -184,6 +188,12 @@
 	returned map[string]time.Duration // when
 	pauses   map[Kind]time.Duration
 	needs    []Need
+	movable  *jobs.Description        // see Want
+	peak     float64                  // processors of such work, the most of late
+	least    [2]float64               // and the least, in this window and the one before
+	turned   time.Duration            // when this window began
+	peaked   time.Duration            // when that was last looked at
+	wanting  time.Duration            // since when spot machines would be cheaper, 0: they would not
 	words    []word                   // by block
 	news     [][]string               // by block: returned since the owner's last word
 	lit      map[string]time.Duration // by zone: when an owner last heard from it
@@ -204,6 +214,7 @@
 func New(rt engine.Runtime, addr string, office Office, set *settings.Settings, log *slog.Logger) *Fleet {
 	return &Fleet{rt: rt, addr: addr, office: office, set: set, log: log,
 		machines: map[string]*machine{}, returned: map[string]time.Duration{}, pauses: map[Kind]time.Duration{},
+		Load:   func(string) (float64, float64) { return 0, 0 },
 		flying: map[string]hire{}, words: make([]word, set.Blocks()), news: make([][]string, set.Blocks()),
 		lit: map[string]time.Duration{}, running: map[string]int{}, darkAt: map[string]time.Duration{}}
 }
@@ -312,7 +323,7 @@
 	clear(f.lit)
 	clear(f.running)
 	clear(f.darkAt)
-	f.needs = nil
+	f.needs, f.movable, f.wanting, f.peak, f.least = nil, nil, 0, 0, [2]float64{}
 	term := f.term
 	f.list(term)
 	f.round(term)
@@ -601,8 +612,16 @@
 // being handed out: idle machines are about to be used.
 func (f *Fleet) Stalled() { f.stalled = f.rt.Now() }
 
-// Want tells for which tasks there is no room.
-func (f *Fleet) Want(needs []Need) { f.needs = needs }
+// Want tells for which tasks there is no room, and of which job most runs that could
+// as well run on spot machines, nil if there is none.
+func (f *Fleet) Want(needs []Need, movable *jobs.Description) {
+	// A need waits behind those of its own rank and above. Tasks that are queued
+	// already come first in the list, whatever their rank: services, which may use no
+	// spot machines, were taken to wait behind all of the arrays, and hundreds of
+	// ordinary machines were rented for them.
+	slices.SortStableFunc(needs, func(a, b Need) int { return int(b.Desc.Priority()) - int(a.Desc.Priority()) })
+	f.needs, f.movable = needs, movable
+}
 
 func (f *Fleet) giveBack(m *machine, why string) {
 	if m.release {
@@ -626,6 +645,7 @@
 	f.release(term)
 	if f.listed {
 		f.rent(term)
+		f.exchange(term)
 	}
 }
 
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -324,7 +324,18 @@
 			}
 		}
 	}
-	l.fleet.Want(unmet)
+	var most *plan // of those that could run on spot machines
+	for _, p := range l.order {
+		if !p.cancelled && movable(p.desc) && p.placed > 0 &&
+			(most == nil || float64(p.placed)*p.desc.CPUs > float64(most.placed)*most.desc.CPUs) {
+			most = p
+		}
+	}
+	var sample *jobs.Description
+	if most != nil {
+		sample = most.desc
+	}
+	l.fleet.Want(unmet, sample)
 	if len(batches) == 0 {
 		return false
 	}
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -76,6 +76,12 @@
 type load struct {
 	tasks               int
 	cpus, cards, memory float64
+	movable             float64 // processors of those that any spot machine could have
+}
+
+// movable tells whether a job's tasks can as well run on spot machines.
+func movable(d *jobs.Description) bool {
+	return d.Spot && !d.Service() && !d.Gang() && d.Builds == nil && d.Zone == "" && !d.OneZone && !d.Spread
 }
 
 // cache is what a machine caches, as far as this leader has seen tasks placed
@@ -127,6 +133,12 @@
 	fl *fleet.Fleet, set *settings.Settings, log *slog.Logger) *Leader {
 	l := &Leader{rt: rt, led: led, office: office, cat: cat, store: store, fleet: fl, set: set, log: log}
 	l.End()
+	fl.Load = func(host string) (cpus, movable float64) {
+		if h := l.loads[host]; h != nil {
+			return h.cpus, h.movable
+		}
+		return 0, 0
+	}
 	return l
 }
 
@@ -294,6 +306,9 @@
 	}
 	h.tasks += sign
 	h.cpus += s * p.desc.CPUs
+	if movable(p.desc) {
+		h.movable += s * p.desc.CPUs
+	}
 	h.cards += s * p.desc.Cards
 	h.memory += s * p.desc.MemoryGB
 	if h.tasks == 0 {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -374,6 +374,25 @@
 	// ForgetReturned is how long a returned machine is remembered: longer
 	// than a list lags or an owner stays cut off.
 	ForgetReturned = 15 * time.Minute
+	// ExchangeGain is how many times dearer than on a spot machine that can be had a
+	// task must be on an ordinary one for the one to be rented for the other: it is
+	// paid while it boots, and may be taken. ExchangeAfter is how long that must have
+	// been so, and how long a new leader looks on first.
+	ExchangeGain  = 1.5
+	ExchangeAfter = 8 * time.Second
+	// ExchangeMemory is how fast the most work there was is forgotten, as a half-life.
+	ExchangeMemory = 60 * time.Second
+	// ExchangeWindow is the time of which the least work is taken, once or twice.
+	ExchangeWindow = 20 * time.Second
+	// ExchangeSteady is the least part of the most work of late that there must have
+	// been all the time: only such work keeps machines busy for longer than they boot.
+	ExchangeSteady = 0.4
+	// ExchangeLeast is how many spot machines such work must fill: with few the waves
+	// are as large as the machines (ndiaye-vend-grid lost 0.03 by it).
+	ExchangeLeast = 20
+	// ExchangeSpare is the room on ordinary machines that is kept, as a part of the
+	// work that can run nowhere else: more of it comes, and a machine takes a boot.
+	ExchangeSpare = 0.5
 	// HireAhead is the most machines of a kind that one look plans to rent; how
 	// many there are shows only when a request is filled in part.
 	HireAhead = 200
