--- a/internal/controller/checker_test.go
+++ b/internal/controller/checker_test.go
@@ -172,6 +172,14 @@
 			w.run(25 * time.Second)
 			return w
 		}},
+		{"neglected", func() *world {
+			w, _, a, _ := begun(1, nil)
+			w.calm = w.now
+			w.jobs["wk-000002"] = &simJob{id: "wk-000002", team: "red", tasks: 1, cpus: 1, accepted: true} // nobody knows of it
+			a.tasks = nil
+			w.run(w.now + 120*time.Second)
+			return w
+		}},
 		{"accepted though", func() *world {
 			w, _, _, _ := begun(1, nil)
 			w.set.Deployment.Teams[0].CPUsMax = 100 // the users' word is 24
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -609,7 +609,10 @@
 					w.reboot()
 				}
 				happened := m.play(w, seed)
-				w.after(150*second, func() { w.asked(75 * second) })
+				w.after(150*second, func() {
+					w.calm = w.now
+					w.asked(75 * second)
+				})
 				w.run(300 * second)
 				if happened() {
 					met++
@@ -647,7 +650,10 @@
 			at += time.Duration(rapid.IntRange(0, 4000).Draw(t, "later")) * ms
 		}
 		w.finishAll(110 * second)
-		w.after(150*second, func() { w.asked(75 * second) })
+		w.after(150*second, func() {
+			w.calm = w.now
+			w.asked(75 * second)
+		})
 		w.run(330 * second)
 		w.check(t)
 	})
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -56,6 +56,7 @@
 	unheard   float64         // of transactions carried out at once of which the answer is lost
 	keeps     float64         // of reports of which a copy is kept until a lease has changed hands
 	kept      []func()        // those copies
+	calm      time.Duration   // when all troubles are over, 0 for not known
 	atEnd     bool            // jobs are called off at the moment of their end
 	looks     bool            // users ask all nodes within milliseconds, and repeat
 	swift     bool            // machines are up within two seconds
@@ -142,9 +143,36 @@
 			}
 		}
 	}
+	w.neglected()
 	w.after(500*time.Millisecond, w.sweep)
 }
 
+// neglected looks, once the troubles are over, for jobs that wait for 90 s while a
+// machine that fits has room and their team is under its limit.
+func (w *world) neglected() {
+	if w.calm == 0 || w.now < w.calm+90*time.Second {
+		return
+	}
+	for _, j := range w.jobs {
+		if !j.accepted || j.asked || j.told != "" || j.began > 0 {
+			continue
+		}
+		fits := false
+		for _, k := range w.workers {
+			used := 0.0
+			for _, t := range k.tasks {
+				if o := w.jobs[t.ref[:len("wk-000000")]]; o != nil && t.phase != "ended" {
+					used += o.cpus
+				}
+			}
+			fits = fits || (k.up && !k.dead && !k.deaf && !k.sick && used+j.cpus <= k.cpus && (j.spot || !k.spot) && (j.zone == "" || j.zone == k.zone))
+		}
+		if fits && w.used(j.team)+j.cpus <= 24 {
+			w.breaks("neglected: %s waits for 90 s and more", j.id)
+		}
+	}
+}
+
 func (w *world) breaks(format string, args ...any) {
 	w.broken = append(w.broken, fmt.Sprintf("%8.3f ", w.now.Seconds())+fmt.Sprintf(format, args...))
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -135,3 +136,29 @@
 		}
 	}
 }
+
+// TestCancelLeavesRoomToKnow: settings under which no owner could learn of a
+// cancellation in time are refused with the field and the reason, and under all others
+// the answers end in time: the newest answer on the oldest knowledge, the worker's
+// lease with its drift and the slack still fit into cancel_s.
+func TestCancelLeavesRoomToKnow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lease := float64(rapid.IntRange(5, 120).Draw(t, "lease"))
+		cancel := lease + float64(rapid.IntRange(-5, 60).Draw(t, "more"))
+		raw := strings.Replace(good, `"lease_s":36,"cancel_s":66`, fmt.Sprintf(`"lease_s":%g,"cancel_s":%g`, lease, cancel), 1)
+		s, err := Parse([]byte(raw))
+		drift := lease * tuning.DriftPerMille / 1000
+		if least := lease + drift + (tuning.KnowLeast + tuning.KnowSlack).Seconds(); (err != nil) != (cancel < least-1e-9) {
+			t.Fatalf("lease %g, cancel %g: %v", lease, cancel, err)
+		}
+		if err != nil {
+			if !strings.Contains(err.Error(), "cancel_s") {
+				t.Fatalf("the field is not named: %v", err)
+			}
+			return
+		}
+		if end := s.AnswerWithin().Seconds() + lease + drift; end > cancel-tuning.KnowSlack.Seconds()+1e-6 {
+			t.Fatalf("lease %g, cancel %g: tasks may last %g s", lease, cancel, end)
+		}
+	})
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -112,8 +112,8 @@
 	// nodes take while changes are scarce, which they are for ScarceFor after one
 	// was refused for it: decisions come before submissions. Without it three
 	// hundred jobs at once kept anything from being handed out for half a minute.
-	SubmitShare = 0.3
-	ScarceFor   = 3 * time.Second
+	SubmitShare = 0.45
+	ScarceFor   = 1500 * time.Millisecond
 	// StallKeep is how long after a hand-out for which there were no changes idle
 	// machines are not idle: what they wait for is to come.
 	StallKeep = 5 * time.Second
@@ -381,7 +381,7 @@
 	ExchangeGain  = 1.5
 	ExchangeAfter = 8 * time.Second
 	// ExchangeMemory is how fast the most work there was is forgotten, as a half-life.
-	ExchangeMemory = 60 * time.Second
+	ExchangeMemory = 120 * time.Second
 	// ExchangeWindow is the time of which the least work is taken, once or twice.
 	ExchangeWindow = 20 * time.Second
 	// ExchangeSteady is the least part of the most work of late that there must have
