--- a/internal/ledger/office.go
+++ b/internal/ledger/office.go
@@ -227,12 +227,15 @@
 	if !o.Valid() || !o.row.IsReady() {
 		return
 	}
-	if o.rt.Now() >= o.unfit {
-		for b := range o.held { // to give it up has failed, as far as one can tell
-			if o.Waived(b) {
-				o.Renew(b)
-			}
+	for b := range o.held {
+		if !o.Waived(b) {
+			continue
+		}
+		if o.rt.Now() < o.unfit {
+			o.release() // refused, or its answer was lost
+			break
 		}
+		o.Renew(b) // to give it up has failed, as far as one can tell
 	}
 	o.enrol()
 	o.run()
@@ -421,13 +424,24 @@
 	for b, token := range o.held {
 		o.waived[b] = token
 	}
+	o.log.Info("giving up blocks: no worker reaches this node")
 	o.unfit = o.rt.Now() + tuning.AbstainAfterStepDown
+	o.release()
+}
+
+// release commits that the blocks given up are free.
+func (o *Office) release() {
+	if o.busy["give up"] {
+		return
+	}
 	want := holder{o.node, o.nonce, o.permit, true}
 	var guards []Guard
 	apply := []Change{{Set: nodePrefix + o.node, Value: o.value(want), Permit: o.permit}}
-	o.log.Info("giving up blocks: no worker reaches this node")
 	purpose := "give up"
 	for b, token := range o.held {
+		if !o.Waived(b) {
+			continue
+		}
 		if len(apply) == o.led.Ops() {
 			o.commit(purpose, guards, apply)
 			purpose, guards, apply = "give up "+strconv.Itoa(b), nil, nil
