--- a/internal/ledger/office.go
+++ b/internal/ledger/office.go
@@ -128,9 +128,6 @@
 // Valid tells whether what is held is surely held now.
 func (o *Office) Valid() bool { return o.permit != 0 && o.rt.Now() < o.valid }
 
-// ValidUntil is the end of the surely valid time.
-func (o *Office) ValidUntil() time.Duration { return o.valid }
-
 // answered notes that a block's holder has changed by now. The one before goes on
 // answering for the hold if its lease has run out; if the block was taken from it
 // while it held it, until its copy of the leases is too old, see AnswersUntil.
