--- a/internal/agents/table_test.go
+++ b/internal/agents/table_test.go
@@ -32,6 +32,7 @@
 	// knows of them; knows: it rests on that.
 	off, proven time.Duration
 	knows       bool
+	stuck       bool // there is no new token to be had
 	worker      struct {
 		shift, tick, token uint64
 		leased             time.Duration
@@ -60,7 +61,11 @@
 func (b *bench) Answering() bool {
 	return !b.away && (!b.knows || b.now < b.proven+b.table.set.AnswerWithin())
 }
-func (b *bench) Renew() { b.term() }
+func (b *bench) Renew() {
+	if !b.stuck {
+		b.term()
+	}
+}
 func (b *bench) Fresh(since time.Duration) bool {
 	return !b.knows || (b.proven >= since && b.now-b.proven <= tuning.LaunchFresh)
 }
@@ -171,6 +176,29 @@
 	return httpwire.Answer{Status: 200, Body: raw}
 }
 
+// settleOrder lets the first direct order go: it is carried out or not, answered or
+// not, now or later; those that are carried out later are returned with the rest.
+func (b *bench) settleOrder(t *rapid.T, late []call) []call {
+	if len(b.calls) == 0 {
+		return late
+	}
+	c := b.calls[0]
+	b.calls = b.calls[1:]
+	switch rapid.IntRange(0, 3).Draw(t, "fate") {
+	case 0:
+		c.fn(b.deliver(c), nil)
+	case 1:
+		b.deliver(c)
+		c.fn(httpwire.Answer{}, engine.ErrNoAnswer)
+	case 2:
+		late = append(late, c)
+		c.fn(httpwire.Answer{}, engine.ErrNoAnswer)
+	case 3:
+		c.fn(httpwire.Answer{}, engine.ErrNotSent)
+	}
+	return late
+}
+
 // TestGoneIsGone: whatever is lost, late or repeated between a table and its
 // worker, a task that the table calls gone is not on the machine and no order on
 // its way can start it there.
@@ -226,23 +254,7 @@
 				}
 				b.table.Settle()
 			case 5: // a direct order: carried out or not, answered or not, now or later
-				if len(b.calls) == 0 {
-					continue
-				}
-				c := b.calls[0]
-				b.calls = b.calls[1:]
-				switch rapid.IntRange(0, 3).Draw(t, "fate") {
-				case 0:
-					c.fn(b.deliver(c), nil)
-				case 1:
-					b.deliver(c)
-					c.fn(httpwire.Answer{}, engine.ErrNoAnswer)
-				case 2:
-					late = append(late, c)
-					c.fn(httpwire.Answer{}, engine.ErrNoAnswer)
-				case 3:
-					c.fn(httpwire.Answer{}, engine.ErrNotSent)
-				}
+				late = b.settleOrder(t, late)
 			case 6: // a late one
 				if len(late) > 0 {
 					b.deliver(late[0])
@@ -536,6 +548,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBench(3)
 		b.knows, b.proven = true, b.now
+		b.stuck = rapid.Bool().Draw(t, "no new token")
 		limit := time.Duration(b.table.set.Deployment.Workers.CancelS * float64(time.Second))
 		var late []call
 		var copies []*Report
@@ -573,23 +586,7 @@
 				}
 				b.table.Settle()
 			case 5, 6:
-				if len(b.calls) == 0 {
-					continue
-				}
-				c := b.calls[0]
-				b.calls = b.calls[1:]
-				switch rapid.IntRange(0, 3).Draw(t, "fate") {
-				case 0:
-					c.fn(b.deliver(c), nil)
-				case 1:
-					b.deliver(c)
-					c.fn(httpwire.Answer{}, engine.ErrNoAnswer)
-				case 2:
-					late = append(late, c)
-					c.fn(httpwire.Answer{}, engine.ErrNoAnswer)
-				case 3:
-					c.fn(httpwire.Answer{}, engine.ErrNotSent)
-				}
+				late = b.settleOrder(t, late)
 			case 7:
 				if len(late) > 0 {
 					b.deliver(late[0])
@@ -598,7 +595,7 @@
 			case 8:
 				b.table.Tick()
 			case 9: // the user cancels, at any node
-				if b.off == 0 && len(b.worker.tasks) > 0 {
+				if b.off == 0 && len(b.worker.tasks)+len(late)+len(b.calls) > 0 {
 					b.off = b.now
 				}
 			case 10: // the owner has its knowledge proven; perhaps it is another one
@@ -607,7 +604,7 @@
 					b.job.Cancelled = true
 					b.table.Cancel(b.job)
 				}
-				if rapid.IntRange(0, 4).Draw(t, "another term") == 0 {
+				if !b.stuck && rapid.IntRange(0, 4).Draw(t, "another term") == 0 {
 					for _, k := range b.job.Tasks {
 						k.Flying, k.Doubt, k.Shift, k.Tick, k.Seen = false, false, 0, 0, false
 					}
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -307,6 +307,39 @@
 	{"gap, owner, deaf machines", gap((*world).anyOwner, 2*second, 50*second, "machines deaf")},
 	{"gap, owner, mute machines", gap((*world).anyOwner, 2*second, 50*second, "machines mute")},
 	{"the refusal meets the cancellation, a second later nobody is served", gap((*world).anyOwner, second, 50*second)},
+	{"launches wait for reports while their owner is refused and the jobs are called off", func(w *world, seed int) func() bool {
+		w.prompt = true
+		w.pace = 5
+		w.set.Deployment.Workers.ReportS = 5
+		w.reboot()
+		w.fill(6, 60*second)
+		for i := range 8 { // placed just before the refusal
+			j := &simJob{id: fmt.Sprintf("wk-%06d", 100+i), team: "red", tasks: 2, cpus: 1, length: 30 * second, spot: true, urgent: true, done: map[int]bool{}}
+			w.after(29*second+500*ms, func() { w.user(j, 0) })
+		}
+		w.after(29*second, func() { w.closed = true })
+		placed := 0
+		w.after(30*second+300*ms, func() {
+			n := w.owner(0)
+			for _, h := range n.node.owners[0].table.All() {
+				for k := range h.Tasks {
+					if k.Durable && !k.Sent {
+						placed++
+					}
+				}
+			}
+			w.refuseFor(n.name, 9*second)
+			w.cut["users|"+n.name] = true
+			for i := range 8 {
+				if j := w.jobs[fmt.Sprintf("wk-%06d", 100+i)]; j.callOff != nil {
+					j.callOff()
+				}
+			}
+		})
+		w.after(45*second, func() { w.closed = false; clear(w.cut) })
+		w.finishAll(80 * second)
+		return func() bool { return placed > 0 && w.cancelledBetween(30*second, 34*second) > 0 }
+	}},
 	{"users look closely", func(w *world, seed int) func() bool {
 		w.looks = true
 		w.unheard = []float64{0, 0.2}[seed%2]
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -57,6 +57,8 @@
 	keeps     float64         // of reports of which a copy is kept until a lease has changed hands
 	kept      []func()        // those copies
 	calm      time.Duration   // when all troubles are over, 0 for not known
+	pace      int             // how many times slower workers report, 0 for not
+	closed    bool            // workers take no direct orders: connections to them fail at once
 	atEnd     bool            // jobs are called off at the moment of their end
 	looks     bool            // users ask all nodes within milliseconds, and repeat
 	swift     bool            // machines are up within two seconds
@@ -286,6 +288,10 @@
 	case "cloud:1":
 		w.send(r.n.name, "cloud", timeout, func(reply func(httpwire.Answer)) { reply(w.cloud.serve(c)) }, back)
 	default:
+		if w.closed {
+			w.after(time.Millisecond, func() { back(httpwire.Answer{}, engine.ErrNotSent) })
+			return
+		}
 		w.send(r.n.name, "workers", timeout, func(reply func(httpwire.Answer)) {
 			if k := w.workers[addr]; k != nil && !k.dead && !k.deaf && (k.only == 0 || w.nodes[k.only-1] == r.n) {
 				if w.now < k.dark {
@@ -903,7 +909,7 @@
 				k.leased = max(k.leased, sent)
 				k.obey(o.Orders)
 			}
-			next(time.Duration(500+k.w.rng.IntN(1000)) * time.Millisecond)
+			next(time.Duration(500+k.w.rng.IntN(1000)) * time.Millisecond * time.Duration(max(1, k.w.pace)))
 			return
 		}
 		if err == nil && a.Status == 421 {
