--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -242,8 +242,8 @@
 		return field("deployment.workers.report_s", "not below lease_s")
 	}
 	if room := s.AnswerWithin(); room < tuning.KnowLeast {
-		return field("deployment.workers.cancel_s", fmt.Sprintf("leaves %.1f s above lease_s for the owner of a machine to learn of a cancellation; it takes %.1f s, "+
-			"and a task of a machine that was answered before and is cut off then would outlive cancel_s", (room+tuning.KnowSlack).Seconds(), (tuning.KnowLeast+tuning.KnowSlack).Seconds()))
+		return field("deployment.workers.cancel_s", fmt.Sprintf("leaves %.1f s above lease_s for the owner of a machine to learn of a cancellation, and %.1f s of margin; it takes %.1f s, "+
+			"and a task of a machine that was answered before and is cut off then would outlive cancel_s", room.Seconds(), s.knowSlack().Seconds(), tuning.KnowLeast.Seconds()))
 	}
 	return nil
 }
@@ -382,7 +382,13 @@
 // time even if nothing reaches the worker after it.
 func (s *Settings) AnswerWithin() time.Duration {
 	lease := s.WorkerLease()
-	return seconds(s.Deployment.Workers.CancelS) - lease - lease*tuning.DriftPerMille/1000 - tuning.KnowSlack
+	return seconds(s.Deployment.Workers.CancelS) - lease - lease*tuning.DriftPerMille/1000 - s.knowSlack()
+}
+
+// knowSlack is what is kept free of that: less where the times are short.
+func (s *Settings) knowSlack() time.Duration {
+	room := seconds(s.Deployment.Workers.CancelS) - s.WorkerLease()
+	return min(tuning.KnowSlack, time.Duration(float64(room)*tuning.KnowSlackShare))
 }
 
 // Skew bounds the difference of two nodes' times of day.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -33,10 +33,13 @@
 	// KnowSlack is kept free between the end of the last task of a cancelled job
 	// that an answer can have kept alive and the cancellation limit: for the
 	// answer's way, coarse timers, and the users' being told after the commit.
-	KnowSlack = 3 * time.Second
+	// It is no more than KnowSlackShare of what lies between the two, which is a few
+	// seconds on platforms set up for trials.
+	KnowSlack      = 3 * time.Second
+	KnowSlackShare = 0.25
 	// KnowLeast is the least time that the settings must leave for it: a proof
-	// takes ProveEvery, a request, and its repeat if it gets no answer.
-	KnowLeast = 5 * time.Second
+	// takes ProveEvery and a request.
+	KnowLeast = 2 * time.Second
 	// LaunchFresh is how old the proof may be that a job is not cancelled when a
 	// task of it is launched; it is no older than the placement in any case.
 	LaunchFresh = 2 * time.Second
