--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -97,15 +97,24 @@
 type Office interface {
 	Token() uint64
 	Valid() bool
-	// Answering tells whether reports are answered, and so taken in.
+	// Answering tells whether reports are answered, and so taken in: only on
+	// knowledge of cancellations that is young enough.
 	Answering() bool
 	Renew()
+	// Fresh tells whether the jobs not known to be cancelled are proven not to have
+	// been so at or after a moment, lately; if not, a proof is asked for.
+	Fresh(since time.Duration) bool
+	// AnsweredBefore is when the last earlier owner stops answering, at the latest.
+	AnsweredBefore() time.Duration
 }
 
 // Shelf is what the table asks of the block's records.
 type Shelf interface {
 	IsLoaded() bool
 	Job(id string) *work.Job
+	// CancelledFor is how long ago a job's user can have been told that it is
+	// cancelled, at most, if it is.
+	CancelledFor(id string) (time.Duration, bool)
 	Jobs(func(*work.Job))
 	Changed(t *work.Task, urgent bool)
 	TaskDone(t *work.Task)
@@ -128,6 +137,8 @@
 	begun    time.Duration // this term
 	since    time.Duration // when reports began to be taken in, this time
 	ready    map[*Host]bool
+	held     map[*Host]bool  // have launches that wait for a proof, see Office.Fresh
+	heldAt   time.Duration   // the newest placement of those
 	greets   []*Host         // to be told of the token
 	greeting int             // being told
 	gone     map[string]bool // returned machines
@@ -144,7 +155,7 @@
 // NewTable returns an empty table.
 func NewTable(rt engine.Runtime, office Office, book Shelf, set *settings.Settings, log *slog.Logger) *Table {
 	return &Table{rt: rt, office: office, book: book, set: set, log: log,
-		hosts: map[string]*Host{}, ready: map[*Host]bool{}, gone: map[string]bool{}, zones: map[string]*zone{}}
+		hosts: map[string]*Host{}, ready: map[*Host]bool{}, held: map[*Host]bool{}, gone: map[string]bool{}, zones: map[string]*zone{}}
 }
 
 // zone finds or makes a zone's entry.
@@ -193,11 +204,13 @@
 	for _, h := range t.hosts {
 		h.Tasks = map[*work.Task]bool{}
 		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray, h.Fetching = 0, 0, 0, false, 0, 0
-		h.LeaseFrom = t.begun + t.set.Hold()
+		// Between two tokens of its own a process knows what it has answered.
+		h.LeaseFrom = max(h.LeaseFrom, t.office.AnsweredBefore())
 		h.Silent, h.inLine = false, false
 		h.hears()
 	}
 	clear(t.ready)
+	clear(t.held)
 	t.greets, t.greeting = nil, 0
 	// Those heard of late come first: hundreds that are cut off or dead, each of
 	// which is waited for, must not keep the others waiting.
@@ -252,7 +265,7 @@
 		}
 		// Of a machine that this process has not heard of, the session is a
 		// guess; refused for another one, the message does no harm.
-		body, err := json.Marshal(Orders{Token: token, Shift: max(h.Shift, 1), Orders: []Order{}})
+		body, err := json.Marshal(Orders{Token: token, Shift: max(h.Shift, 1), Orders: t.halts(h, []Order{})})
 		if err != nil {
 			return
 		}
@@ -299,6 +312,7 @@
 		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray, h.Fetching = 0, 0, 0, false, 0, 0
 	}
 	clear(t.ready)
+	clear(t.held)
 }
 
 // host finds or makes a machine's entry.
@@ -306,7 +320,7 @@
 	h := t.hosts[id]
 	if h == nil {
 		now := t.rt.Now()
-		h = &Host{ID: id, Known: now, Idle: now, LeaseFrom: max(now, t.begun+t.set.Hold()),
+		h = &Host{ID: id, Known: now, Idle: now, LeaseFrom: max(now, t.office.AnsweredBefore()),
 			Tasks: map[*work.Task]bool{}, FailedJ: map[string]bool{}}
 		t.hosts[id] = h
 		i, _ := slices.BinarySearchFunc(t.list, id, func(h *Host, id string) int { return strings.Compare(h.ID, id) })
@@ -369,6 +383,8 @@
 		g.Cold++
 	}
 	k.Placing(h.ID)
+	k.At = t.rt.Now()
+	t.office.Fresh(k.At) // the proof comes while the placement is committed
 	k.MinToken, k.Shift, k.Tick = t.office.Token(), 0, 0
 	t.occupy(h, k)
 	t.book.Changed(k, true)
@@ -420,6 +436,54 @@
 	return h.LeaseFrom + lease + lease*tuning.DriftPerMille/1000 + tuning.GoneMargin
 }
 
+// halts adds the orders that end what a machine may have of cancelled jobs. They are
+// repeated until each task is proven gone, by whichever message there is: a halt
+// names the attempt, so that repeated or late it does no harm.
+func (t *Table) halts(h *Host, orders []Order) []Order {
+	now := t.rt.Now()
+	for k := range h.Tasks {
+		if k.Job.Cancelled && k.Sent && len(orders) < tuning.OrdersPerMessage {
+			k.Halted = now
+			orders = append(orders, halt(k.Ref(), k.Try(), 0))
+		}
+	}
+	return orders
+}
+
+// Cancel has the tasks of a cancelled job halted at once: with the next report the
+// order would leave seconds later, and a machine whose reports are lost can still
+// be reached.
+func (t *Table) Cancel(j *work.Job) {
+	for _, k := range j.Tasks {
+		if h := t.hosts[k.Host]; h != nil && k.State == work.Placed {
+			t.ready[h] = true
+		}
+	}
+}
+
+// outlives tells whether a machine may have a task of a job that was cancelled so
+// long ago that an answer could keep it alive past the users' limit: the worker's
+// lease runs on from the report, and nothing more may reach it. Such a machine is
+// not answered until the task is proven gone, by direct orders if they reach it, by
+// the end of its lease if not.
+func (t *Table) outlives(h *Host, r *Report) bool {
+	old := func(job string) bool {
+		age, cancelled := t.book.CancelledFor(job)
+		return cancelled && age >= t.set.AnswerWithin()
+	}
+	for k := range h.Tasks {
+		if k.Job.Cancelled && k.Sent && old(k.Job.Desc.ID) {
+			return true
+		}
+	}
+	for i := range r.Tasks {
+		if job, _, ok := splitRef(r.Tasks[i].Task); ok && r.Tasks[i].Phase != "ended" && old(job) {
+			return true
+		}
+	}
+	return false
+}
+
 // Tick looks for machines whose lease has run out and for placements that can
 // no longer be launched.
 func (t *Table) Tick() {
@@ -447,6 +511,9 @@
 		}
 		for k := range h.Tasks {
 			if k.Sent {
+				if k.Job.Cancelled && now-k.Halted >= tuning.HaltEvery {
+					t.ready[h] = true
+				}
 				t.move(h, k, now)
 				continue
 			}
@@ -511,6 +578,7 @@
 	delete(t.hosts, id)
 	t.list = slices.DeleteFunc(t.list, func(o *Host) bool { return o == h })
 	delete(t.ready, h)
+	delete(t.held, h)
 }
 
 // Drain stops new tasks on a machine.
@@ -588,12 +656,15 @@
 	}
 	if !t.book.IsLoaded() {
 		h.Shift, h.Tick, h.Token = r.Shift, r.Tick, r.Token
+		if t.outlives(h, r) {
+			return 503, Unreachable
+		}
 		h.Silent, h.LeaseFrom = false, now
-		return t.answer(token, nil)
+		return t.answer(token, t.cancelled(r))
 	}
 	orders := t.read(h, r, true)
 	t.listen(h)
-	if h.Deaf {
+	if h.Deaf || t.outlives(h, r) {
 		// Not answered, so that its lease surely runs from the last answer
 		// that it can have heard, and its tasks are settled by that.
 		return 503, Unreachable
@@ -602,6 +673,22 @@
 	return t.answer(token, orders)
 }
 
+// cancelled gives the orders that end the tasks of cancelled jobs in a report.
+func (t *Table) cancelled(r *Report) []Order {
+	var orders []Order
+	for i := range r.Tasks {
+		l := &r.Tasks[i]
+		job, _, ok := splitRef(l.Task)
+		if !ok || l.Phase == "ended" || len(orders) >= tuning.OrdersPerMessage {
+			continue
+		}
+		if _, off := t.book.CancelledFor(job); off {
+			orders = append(orders, halt(l.Task, l.Attempt, 0))
+		}
+	}
+	return orders
+}
+
 // listen decides whether a machine that reports hears us too. To have been heard
 // is no proof of that: seen as alive, it swallowed task after task.
 func (t *Table) listen(h *Host) {
@@ -621,7 +708,7 @@
 	}
 	h.probed = now
 	token := t.office.Token()
-	body, err := json.Marshal(Orders{Token: token, Shift: h.Shift, Orders: []Order{}})
+	body, err := json.Marshal(Orders{Token: token, Shift: h.Shift, Orders: t.halts(h, []Order{})})
 	if err != nil {
 		return
 	}
@@ -721,7 +808,9 @@
 		}
 	}
 	if !acked {
-		return nil
+		// The worker has not seen the token yet, so its list decides little; what
+		// is cancelled ends all the same.
+		return t.cancelled(r)
 	}
 	for k := range h.Tasks {
 		if !listed[k] {
@@ -736,7 +825,7 @@
 	}
 	if beat && t.office.Valid() && h.Draining == "" && !h.Deaf {
 		for k := range h.Tasks {
-			if len(orders) < tuning.OrdersPerMessage && k.Launchable() {
+			if len(orders) < tuning.OrdersPerMessage && k.Launchable() && t.office.Fresh(k.At) {
 				k.Sent, k.Shift, k.Tick = true, r.Shift, r.Tick
 				orders = append(orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Try()})
 			}
@@ -888,6 +977,12 @@
 		return
 	}
 	t.greet()
+	if len(t.held) > 0 && t.office.Fresh(t.heldAt) {
+		for h := range t.held {
+			t.ready[h] = true
+		}
+		clear(t.held)
+	}
 	for h := range t.ready {
 		if h.flying {
 			continue // looked at again when the answer is in
@@ -908,6 +1003,10 @@
 	var carried []*work.Task
 	for k := range h.Tasks {
 		if h.Draining == "" && len(carried) < tuning.OrdersPerMessage && k.Launchable() {
+			if !t.office.Fresh(k.At) {
+				t.held[h], t.heldAt = true, max(t.heldAt, k.At)
+				continue
+			}
 			carried = append(carried, k)
 			msg.Orders = append(msg.Orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Try()})
 		}
@@ -919,6 +1018,12 @@
 			msg.Orders = append(msg.Orders, halt(k.Ref(), k.Try(), k.WindDown))
 		}
 	}
+	for k := range h.Tasks {
+		if k.Job.Cancelled && k.Sent && t.rt.Now()-k.Halted >= tuning.HaltEvery {
+			msg.Orders = t.halts(h, msg.Orders)
+			break
+		}
+	}
 	if len(msg.Orders) == 0 && !h.ask {
 		return
 	}
--- a/internal/agents/table_test.go
+++ b/internal/agents/table_test.go
@@ -51,16 +51,19 @@
 	b.calls = append(b.calls, call{c.Body, fn})
 }
 
-func (b *bench) Token() uint64            { return b.token }
-func (b *bench) Valid() bool              { return true }
-func (b *bench) Answering() bool          { return !b.away }
-func (b *bench) Renew()                   { b.term() }
-func (b *bench) IsLoaded() bool           { return true }
-func (b *bench) Job(string) *work.Job     { return b.job }
-func (b *bench) Jobs(fn func(*work.Job))  { fn(b.job) }
-func (b *bench) Changed(*work.Task, bool) {}
-func (b *bench) TaskDone(t *work.Task)    { t.State = work.Done }
-func (b *bench) Drop(t *work.Task)        { t.State = work.Dropped }
+func (b *bench) Token() uint64                             { return b.token }
+func (b *bench) Valid() bool                               { return true }
+func (b *bench) Answering() bool                           { return !b.away }
+func (b *bench) Renew()                                    { b.term() }
+func (b *bench) Fresh(time.Duration) bool                  { return true }
+func (b *bench) AnsweredBefore() time.Duration             { return 0 }
+func (b *bench) CancelledFor(string) (time.Duration, bool) { return 0, false }
+func (b *bench) IsLoaded() bool                            { return true }
+func (b *bench) Job(string) *work.Job                      { return b.job }
+func (b *bench) Jobs(fn func(*work.Job))                   { fn(b.job) }
+func (b *bench) Changed(*work.Task, bool)                  {}
+func (b *bench) TaskDone(t *work.Task)                     { t.State = work.Done }
+func (b *bench) Drop(t *work.Task)                         { t.State = work.Dropped }
 func (b *bench) term() {
 	b.token++
 	b.table.End()
--- a/internal/block/shelf.go
+++ b/internal/block/shelf.go
@@ -27,6 +27,8 @@
 	Done func(*work.Job)
 	// Discard takes a task that was never launched off its machine.
 	Discard func(*work.Task)
+	// Cancel is told that a job is cancelled that may have tasks on machines.
+	Cancel func(*work.Job)
 
 	rt     engine.Runtime
 	led    *ledger.Client
@@ -230,6 +232,13 @@
 			s.Drop(t)
 		}
 	}
+	s.Cancel(j)
+}
+
+// CancelledFor is how long ago a job's user can have been told that it is
+// cancelled, at most, if it is.
+func (s *Shelf) CancelledFor(id string) (time.Duration, bool) {
+	return s.cat.CancelledFor(id, s.set.Skew())
 }
 
 // TaskMoved takes note of a task of another block: one of a divided gang that is
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"math"
 	"strings"
 	"time"
 
@@ -24,6 +25,7 @@
 	digestPath = "/digest" // an owner's word to the leader
 	beatPath   = "/beat"   // a worker's report for the owner that it cannot reach
 	statePath  = "/state"  // does the state service answer you?
+	heardPath  = "/heard"  // how long ago did a worker come to you?
 )
 
 // Node is one controller.
@@ -45,11 +47,13 @@
 	peers   map[string]string // endpoints by node
 
 	lastBeat time.Duration         // from any worker, for any block
+	asking   bool                  // the peers, whether they hear workers
+	reported time.Duration         // when a worker last came here, 0 if none has
 	vain     int                   // times in a row that blocks were given up without one
 	sent     map[string]redirected // workers sent to their owners
 	telling  []bool
 	shared   time.Duration // when a peer last said that it has no answers either
-	alone    bool          // a peer is served by the state service, this node is not
+	alone    time.Duration // when a peer last said that it has, while this node has none
 }
 
 // redirected is a worker that was sent to its owner.
@@ -88,6 +92,7 @@
 	rt, set, log := n.rt, n.set, n.log
 	n.owners = nil
 	n.office = ledger.NewOffice(rt, n.led, log, set.Node, nonce, rank, set.Blocks())
+	n.office.Hold = set.Hold()
 	n.cat = intake.NewCatalog(rt, n.led, set.Deployment.Teams, log)
 	n.store = work.NewStore(rt, n.led, log)
 	n.fleet = fleet.New(rt, set.External.Cloud, n.office, set, log)
@@ -185,15 +190,14 @@
 		deaf, hearing, up = deaf+d, hearing+all-d, up+all
 		n.tell(b)
 	}
-	if up > 0 && (now-n.lastBeat > n.set.DeafAfter(up)<<min(n.vain, tuning.VainMost) || deaf > hearing) {
-		// Not one report for any block, or nobody hears the answers: it is
-		// this node that is cut off, not every machine that has died. If they
-		// have all died after all, the next owner hears none either, and the
-		// block went round for ever before any lease could run out: the longer
-		// it does, the longer it is kept.
-		n.office.GiveUp()
-		n.lastBeat = now
-		n.vain++
+	if n.owning() {
+		n.prove()
+	}
+	switch {
+	case up > 0 && deaf > hearing: // nobody hears the answers
+		n.giveUp()
+	case up > 0 && now-n.lastBeat > n.set.DeafAfter(up)<<min(n.vain, tuning.VainMost):
+		n.silence()
 	}
 	n.leader.Wake()
 	n.compare()
@@ -204,6 +208,50 @@
 	}
 }
 
+// giveUp returns the blocks: it is this node that is cut off, not every machine that
+// has died. If they have all died after all, the next owner hears none either: the
+// longer the block goes round, the longer it is kept.
+func (n *Node) giveUp() {
+	n.office.GiveUp()
+	n.lastBeat = n.rt.Now()
+	n.vain++
+}
+
+// silence is what follows when not one report comes for any block: the peers are
+// asked whether workers come to them, as those do that do not reach their owner. If
+// none does, the machines are dead, and to give the blocks up would only begin the
+// wait for the ends of their leases anew: a lone machine's tasks were lost for
+// minutes while its block went round. A peer that does not say may be the one.
+func (n *Node) silence() {
+	if n.asking {
+		return
+	}
+	n.asking = true
+	begun, left, elsewhere := n.lastBeat, len(n.peers), false
+	for _, endpoint := range n.peers {
+		n.rt.Peer(endpoint, heardPath, []byte("{}"), tuning.PeerTimeout, func(body []byte, err error) {
+			var ms int64
+			if err != nil || json.Unmarshal(body, &ms) != nil || time.Duration(ms)*time.Millisecond < n.rt.Now()-begun {
+				elsewhere = true
+			}
+			if left--; left > 0 {
+				return
+			}
+			n.asking = false
+			if n.owning() && n.lastBeat == begun {
+				if elsewhere {
+					n.giveUp()
+				} else {
+					n.lastBeat = n.rt.Now() // asked again after as long a silence
+				}
+			}
+		})
+	}
+	if left == 0 {
+		n.asking = false
+	}
+}
+
 // tell sends a block's digest to the leader.
 func (n *Node) tell(b int) {
 	o := n.owners[b]
@@ -282,6 +330,13 @@
 		status, reply := o.table.Report(r)
 		o.wanted = true
 		answer(reply, status == 200)
+	case heardPath:
+		silent := int64(math.MaxInt64 / int64(time.Millisecond))
+		if n.reported > 0 {
+			silent = (n.rt.Now() - n.reported).Milliseconds()
+		}
+		reply, err := json.Marshal(silent)
+		answer(reply, err == nil)
 	case statePath:
 		reply, err := json.Marshal(n.served())
 		answer(reply, err == nil)
@@ -299,7 +354,7 @@
 // for them: only a node that is refused alone sends its users elsewhere.
 func (n *Node) compare() {
 	if n.served() {
-		n.alone = false
+		n.alone = 0
 		return
 	}
 	for _, endpoint := range n.peers {
@@ -309,7 +364,11 @@
 				return
 			}
 			if theirs {
-				n.alone = !n.served()
+				// Said once it must not count for ever: at the beginning of an
+				// outage one node's last answer is older than another's.
+				if !n.served() {
+					n.alone = n.rt.Now()
+				}
 			} else {
 				n.shared = n.rt.Now()
 			}
@@ -326,10 +385,33 @@
 }
 
 // answering tells whether this node may answer reports of a block: while its
-// lease is valid, and for a bounded hold after, which every takeover waits
-// out.
+// lease is valid, and for a bounded hold after, which every takeover waits out; and
+// only on knowledge of cancellations that is young enough. The lease alone is not:
+// after an outage it has its full time again, while the catalog still lacks what
+// other nodes have confirmed to users.
 func (n *Node) answering(o *owner) bool {
-	return o.token != 0 && n.rt.Now() < n.office.ValidUntil()+n.set.Hold()
+	now := n.rt.Now()
+	proven, known := n.cat.Proven()
+	return o.token != 0 && !n.office.Waived(o.block) && now < n.office.AnswersUntil() &&
+		known && now < proven+n.set.AnswerWithin()
+}
+
+// fresh tells whether the catalog is proven to hold all cancellations up to a moment,
+// lately.
+func (n *Node) fresh(since time.Duration) bool {
+	now := n.rt.Now()
+	proven, known := n.cat.Proven()
+	if known && proven >= since && now-proven <= tuning.LaunchFresh {
+		return true
+	}
+	n.cat.Prove(0)
+	return false
+}
+
+// prove keeps what an owner's answers rest on proven.
+func (n *Node) prove() {
+	n.cat.Prove(tuning.ProveEvery)
+	n.office.Prove()
 }
 
 // beat serves POST /agent/beat.
@@ -340,7 +422,7 @@
 		return
 	}
 	now := n.rt.Now()
-	n.lastBeat, n.vain = now, 0
+	n.lastBeat, n.reported, n.vain = now, now, 0
 	b := work.BlockOf(r.Host, len(n.owners))
 	o := n.owners[b]
 	if n.answering(o) {
@@ -349,6 +431,9 @@
 		reply(status, answer, 0)
 		return
 	}
+	if o.token != 0 {
+		n.prove() // at once: a lease may be valid again
+	}
 	to := n.office.Owner(b)
 	s, back := n.sent[r.Host]
 	endpoint := n.peers[to]
@@ -392,7 +477,9 @@
 	if !n.cat.Ready() || n.fleet.Types() == nil {
 		return false
 	}
-	return n.served() || (!n.alone && n.shared > 0 && n.rt.Now()-n.shared < tuning.UnhealthyAfter)
+	now := n.rt.Now()
+	alone := n.alone > 0 && now-n.alone < tuning.AloneFor
+	return n.served() || (!alone && n.shared > 0 && now-n.shared < tuning.UnhealthyAfter)
 }
 
 // Handle serves one request, on the loop.
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -38,6 +38,13 @@
 // Answering tells whether reports are taken in.
 func (o *owner) Answering() bool { return o.node.answering(o) }
 
+// Fresh tells whether a job not known to be cancelled is proven not to have been at
+// or after a moment, and lately; if not, a proof is asked for.
+func (o *owner) Fresh(since time.Duration) bool { return o.node.fresh(since) }
+
+// AnsweredBefore is when the last earlier owner stops answering, at the latest.
+func (o *owner) AnsweredBefore() time.Duration { return o.node.office.AnsweredBefore(o.block) }
+
 // Renew asks for a new token.
 func (o *owner) Renew() { o.node.office.Renew(o.block) }
 
@@ -50,6 +57,7 @@
 	o.shelf.Launchable = o.table.Launchable
 	o.shelf.Discard = o.table.Discard
 	o.shelf.Done = o.table.Done
+	o.shelf.Cancel = o.table.Cancel
 	o.shelf.Loaded = o.table.Begin
 	o.table.Waiting = o.arrive
 	o.table.Type = n.fleet.Type
--- a/internal/intake/catalog.go
+++ b/internal/intake/catalog.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"math"
 	"strings"
 	"time"
 
@@ -30,6 +31,10 @@
 	At    int64             `json:"at"` // ms since the epoch, of the accepting node
 	Job   *jobs.Description `json:"job,omitempty"`
 	Tasks int               `json:"n,omitempty"` // of a done job, whose description is dropped
+	// Off is when a cancelled job was called off, in ms since the epoch by the clock
+	// of the node that wrote it, from before the commit; 0 if a version did that
+	// which does not tell.
+	Off int64 `json:"off,omitempty"`
 }
 
 // Entry is a job record in memory.
@@ -49,13 +54,14 @@
 	open    map[string]*Entry // without a final phase
 	teams   map[string]settings.Team
 	mirror  *ledger.Mirror
+	rt      engine.Runtime
 	log     *slog.Logger
 }
 
 // NewCatalog returns an empty catalog.
 func NewCatalog(rt engine.Runtime, led *ledger.Client, teams []settings.Team, log *slog.Logger) *Catalog {
 	c := &Catalog{entries: map[string]*Entry{}, open: map[string]*Entry{}, teams: map[string]settings.Team{},
-		log: log, Changed: func(*Entry) {}}
+		rt: rt, log: log, Changed: func(*Entry) {}}
 	for _, t := range teams {
 		c.teams[t.Name] = t
 	}
@@ -76,6 +82,26 @@
 // Check calls fn when the catalog is proven to be current.
 func (c *Catalog) Check(fn func(error)) { c.mirror.Check(fn) }
 
+// Proven is the newest moment of which it is proven that all cancellations before it
+// are known here, see ledger.Mirror.
+func (c *Catalog) Proven() (at time.Duration, known bool) { return c.mirror.Proven() }
+
+// Prove has the catalog shown to be current if that was longer ago than age.
+func (c *Catalog) Prove(age time.Duration) { c.mirror.Prove(age) }
+
+// CancelledFor is how long ago the user of a job can have been told that it is
+// cancelled, at most, if it is. skew bounds the difference of two nodes' clocks.
+func (c *Catalog) CancelledFor(id string, skew time.Duration) (age time.Duration, cancelled bool) {
+	e := c.entries[id]
+	if e == nil || e.Phase != Cancelled {
+		return 0, false
+	}
+	if e.Off == 0 {
+		return math.MaxInt64, true
+	}
+	return max(0, time.Duration(c.rt.Wall().UnixMilli()-e.Off)*time.Millisecond) + skew, true
+}
+
 // Get finds a job.
 func (c *Catalog) Get(id string) *Entry { return c.entries[id] }
 
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -45,7 +45,12 @@
 	value   json.RawMessage
 	expires time.Duration
 	tries   int
+	sent    bool // in a commit whose answer is awaited
 	replies []httpwire.Reply
+	// late are those who asked after it was sent. Another node may have read the
+	// job by then, told its user and even called it off: they get what is
+	// proven after their question.
+	late []httpwire.Reply
 }
 
 // NewDesk returns a desk.
@@ -128,7 +133,11 @@
 		return
 	}
 	if c := d.pending[job.ID]; c != nil {
-		c.replies = append(c.replies, reply)
+		if c.sent {
+			c.late = append(c.late, reply)
+		} else {
+			c.replies = append(c.replies, reply)
+		}
 		return
 	}
 	r := Record{At: d.rt.Wall().UnixMilli(), Job: job}
@@ -172,9 +181,11 @@
 		c := d.queue[0]
 		d.queue = d.queue[1:]
 		if d.rt.Now() >= c.expires {
-			d.finish(c, func(r httpwire.Reply) { refuse(r, "state service not reached") })
+			gone := func(r httpwire.Reply) { refuse(r, "state service not reached") }
+			d.finish(c, gone, gone)
 			continue
 		}
+		c.sent = true
 		batch = append(batch, c)
 		guards = append(guards, ledger.Guard{Key: Prefix + c.id})
 		sets = append(sets, ledger.Change{Set: Prefix + c.id, Value: c.value})
@@ -198,12 +209,13 @@
 						body = []byte("{}")
 					}
 					reply(201, body, 0)
-				})
+				}, func(reply httpwire.Reply) { d.Poll(c.id, reply) })
 			}
 		case ledger.Conflict:
 			for _, c := range batch {
 				if slices.Contains(r.Failed, Prefix+c.id) {
-					d.finish(c, func(reply httpwire.Reply) { d.Poll(c.id, reply) })
+					poll := func(reply httpwire.Reply) { d.Poll(c.id, reply) }
+					d.finish(c, poll, poll)
 				} else {
 					d.queue = append(d.queue, c)
 				}
@@ -232,24 +244,31 @@
 				break
 			}
 			for _, c := range batch {
-				d.finish(c, func(reply httpwire.Reply) { refuse(reply, "state service refused the record") })
+				refused := func(reply httpwire.Reply) { refuse(reply, "state service refused the record") }
+				d.finish(c, refused, refused)
 			}
 		default:
 			// It may have been carried out or may yet be; the same
 			// submission repeated finds out.
 			for _, c := range batch {
-				d.finish(c, func(reply httpwire.Reply) { refuse(reply, "state service did not answer") })
+				silent := func(reply httpwire.Reply) { refuse(reply, "state service did not answer") }
+				d.finish(c, silent, silent)
 			}
 		}
 		d.flush()
 	})
 }
 
-func (d *Desk) finish(c *creation, fn func(httpwire.Reply)) {
+// finish answers all who wait for a submission; late is for those who asked after
+// it was sent.
+func (d *Desk) finish(c *creation, fn, late func(httpwire.Reply)) {
 	delete(d.pending, c.id)
 	for _, reply := range c.replies {
 		fn(reply)
 	}
+	for _, reply := range c.late {
+		late(reply)
+	}
 }
 
 // Poll serves GET /work/{id}.
@@ -293,7 +312,7 @@
 			return
 		}
 		r := e.Record
-		r.Phase = Cancelled
+		r.Phase, r.Off = Cancelled, d.rt.Wall().UnixMilli()
 		value, err := json.Marshal(r)
 		if err == nil && len(value) > d.led.ValueBytes() && r.Job != nil {
 			// Stored when values could be larger. What a cancelled job still needs
--- a/internal/ledger/mirror.go
+++ b/internal/ledger/mirror.go
@@ -40,6 +40,9 @@
 	planned   bool
 	lastCheck time.Duration
 	checked   bool
+
+	proven time.Duration // see Proven
+	known  bool
 }
 
 // NewMirror returns a mirror of the rows under prefix.
@@ -50,12 +53,27 @@
 // IsReady tells whether all rows have been read once.
 func (m *Mirror) IsReady() bool { return m.ready }
 
+// Proven is the newest moment of which it is proven that the mirror holds all
+// that was committed before it: when a request was sent whose answer has been
+// taken in. A watch proves nothing of the time for which it was open. Answers come
+// late and watches fail unseen, so what rests on the copy asks for this, not for
+// when it last changed. known is false before the first proof.
+func (m *Mirror) Proven() (at time.Duration, known bool) { return m.proven, m.known }
+
+// prove notes that all committed before a moment is in.
+func (m *Mirror) prove(at time.Duration) {
+	if !m.known || at > m.proven {
+		m.proven, m.known = at, true
+	}
+}
+
 // Start reads the rows and follows their changes from then on.
 func (m *Mirror) Start() { m.read(0) }
 
 func (m *Mirror) read(try int) {
 	m.life++
 	life := m.life
+	asked := m.rt.Now()
 	m.led.List(m.prefix, func(rows []Row, epoch uint64, out Outcome) {
 		if life != m.life {
 			return
@@ -77,6 +95,7 @@
 			m.Apply(r.Key, r.Value, r.Stamp)
 		}
 		m.epoch, m.ready = epoch, true
+		m.prove(asked)
 		if m.Taken != nil {
 			m.Taken()
 		}
@@ -85,6 +104,7 @@
 }
 
 func (m *Mirror) follow(life, try int) {
+	asked := m.rt.Now()
 	m.led.Watch(m.prefix, m.epoch, tuning.WatchWait, func(events []Event, epoch uint64, out Outcome) {
 		if life != m.life {
 			return
@@ -92,6 +112,7 @@
 		switch out {
 		case OK:
 			m.take(events, epoch)
+			m.prove(asked)
 			pause := time.Duration(0)
 			if m.Pause != nil && len(events) > 0 {
 				pause = m.rest(m.Pause())
@@ -158,6 +179,15 @@
 	m.plan()
 }
 
+// Prove sees to it that the mirror is proven current, by a request sent from now on,
+// if it was not within age. Asked again before that has left, it asks no more.
+func (m *Mirror) Prove(age time.Duration) {
+	if !m.ready || (m.known && m.rt.Now()-m.proven < age) || len(m.waiting) > 0 {
+		return
+	}
+	m.Check(func(error) {})
+}
+
 func (m *Mirror) plan() {
 	if m.checking || m.planned || len(m.waiting) == 0 {
 		return
@@ -184,13 +214,14 @@
 	waiting := m.waiting
 	m.waiting = nil
 	m.checking, m.checked, m.lastCheck = true, true, m.rt.Now()
-	life := m.life
+	life, asked := m.life, m.lastCheck
 	m.led.Watch(m.prefix, m.epoch, 0, func(events []Event, epoch uint64, out Outcome) {
 		m.checking = false
 		var err error
 		switch {
 		case out == OK && life == m.life:
 			m.take(events, epoch)
+			m.prove(asked)
 		case out == Gone && life == m.life:
 			m.read(0)
 			err = ErrNotProven
--- a/internal/ledger/office.go
+++ b/internal/ledger/office.go
@@ -50,6 +50,9 @@
 	BlockWon  func(block int, token uint64)
 	BlockLost func(block int)
 
+	// Hold is how long past its lease an owner goes on answering workers.
+	Hold time.Duration
+
 	rt     engine.Runtime
 	led    *Client
 	log    *slog.Logger
@@ -68,19 +71,28 @@
 	leadAt  time.Duration
 	held    map[int]uint64 // tokens of the blocks held
 	busy    map[string]bool
-	unfit   time.Duration // no blocks before
-	settled time.Duration // last change of the blocks' owners
+	unfit   time.Duration         // no blocks before
+	waived  map[int]uint64        // tokens under which nothing is answered any more, see GiveUp
+	before  map[int]time.Duration // see AnsweredBefore
+	settled time.Duration         // last change of the blocks' owners
 }
 
 // NewOffice returns an office for a node; nonce differs for every process.
 func NewOffice(rt engine.Runtime, led *Client, log *slog.Logger, node string, nonce uint64, rank, blocks int) *Office {
 	o := &Office{rt: rt, led: led, log: log, node: node, nonce: nonce, rank: rank, blocks: blocks,
 		stamps: map[string]uint64{}, holders: map[string]holder{},
-		held: map[int]uint64{}, busy: map[string]bool{}}
+		held: map[int]uint64{}, busy: map[string]bool{}, waived: map[int]uint64{}, before: map[int]time.Duration{}}
 	o.row = NewMirror(rt, led, leasePrefix)
-	o.row.Reset = func([]Row) {
+	o.row.Reset = func(rows []Row) {
 		clear(o.stamps)
 		clear(o.holders)
+		held := map[string]bool{}
+		for _, r := range rows {
+			held[r.Key] = true
+		}
+		for b := range o.blocks { // how its holder came to it is not known
+			o.answered(b, held[BlockKey(b)])
+		}
 	}
 	o.row.Apply = o.apply
 	o.row.Taken = o.look
@@ -119,19 +131,59 @@
 // ValidUntil is the end of the surely valid time.
 func (o *Office) ValidUntil() time.Duration { return o.valid }
 
+// answered notes that a block's holder has changed by now. The one before goes on
+// answering for the hold if its lease has run out; if the block was taken from it
+// while it held it, until its copy of the leases is too old, see AnswersUntil.
+func (o *Office) answered(block int, taken bool) {
+	until := o.rt.Now() + o.Hold
+	if taken {
+		until += tuning.LeaseTTL
+	}
+	o.before[block] = max(o.before[block], until)
+}
+
+// AnsweredBefore is the moment after which no earlier owner of a block answers a
+// worker any more. The holder's own renewals do not move it.
+func (o *Office) AnsweredBefore(block int) time.Duration { return o.before[block] }
+
+// AnswersUntil is how long an owner may answer workers under what it holds: for a
+// hold past its lease, so that a short outage ends no task, but no longer than its
+// copy of the leases is young enough. The grant's renewal alone proves too little:
+// a block may be another's while this process's watch tells it nothing.
+func (o *Office) AnswersUntil() time.Duration {
+	proven, known := o.row.Proven()
+	if !known {
+		return 0
+	}
+	return min(o.valid, proven+tuning.LeaseTTL) + o.Hold
+}
+
+// Prove has the copy of the leases shown to be current if that was long ago.
+func (o *Office) Prove() { o.row.Prove(tuning.ProveEvery) }
+
 func (o *Office) apply(key string, value json.RawMessage, stamp uint64) {
-	if strings.HasPrefix(key, blockPrefix) {
+	block, isBlock := -1, false
+	if number, ok := strings.CutPrefix(key, blockPrefix); ok {
 		o.settled = o.rt.Now()
+		if b, err := strconv.Atoi(number); err == nil && b >= 0 && b < o.blocks {
+			block, isBlock = b, true
+		}
 	}
 	if value == nil {
 		delete(o.stamps, key)
 		delete(o.holders, key)
+		if isBlock {
+			o.answered(block, false)
+		}
 		return
 	}
 	var h holder
 	if err := json.Unmarshal(value, &h); err != nil {
 		o.log.Warn("lease value does not parse", "key", key, "err", err)
 	}
+	if was, held := o.holders[key]; isBlock && held && !was.is(h.Node, h.Nonce) {
+		o.answered(block, true)
+	}
 	o.stamps[key], o.holders[key] = stamp, h
 }
 
@@ -175,6 +227,13 @@
 	if !o.Valid() || !o.row.IsReady() {
 		return
 	}
+	if o.rt.Now() >= o.unfit {
+		for b := range o.held { // to give it up has failed, as far as one can tell
+			if o.Waived(b) {
+				o.Renew(b)
+			}
+		}
+	}
 	o.enrol()
 	o.run()
 	o.retake()
@@ -347,12 +406,21 @@
 	o.row.Check(func(error) { fn() })
 }
 
+// Waived tells whether nothing may be answered any more under a block's token: it
+// is being given up, and the next owner may begin before this process hears of it.
+func (o *Office) Waived(block int) bool {
+	return o.held[block] != 0 && o.waived[block] == o.held[block]
+}
+
 // GiveUp returns all blocks and takes none for a while: no worker reaches this
 // node.
 func (o *Office) GiveUp() {
 	if len(o.held) == 0 || o.busy["give up"] {
 		return
 	}
+	for b, token := range o.held {
+		o.waived[b] = token
+	}
 	o.unfit = o.rt.Now() + tuning.AbstainAfterStepDown
 	want := holder{o.node, o.nonce, o.permit, true}
 	var guards []Guard
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -241,8 +241,9 @@
 	if d.Workers.ReportS >= d.Workers.LeaseS {
 		return field("deployment.workers.report_s", "not below lease_s")
 	}
-	if d.Workers.LeaseS >= d.Workers.CancelS {
-		return field("deployment.workers.cancel_s", "not above lease_s: a task of a cut-off machine would outlive it")
+	if room := s.AnswerWithin(); room < tuning.KnowLeast {
+		return field("deployment.workers.cancel_s", fmt.Sprintf("leaves %.1f s above lease_s for the owner of a machine to learn of a cancellation; it takes %.1f s, "+
+			"and a task of a machine that was answered before and is cut off then would outlive cancel_s", (room+tuning.KnowSlack).Seconds(), (tuning.KnowLeast+tuning.KnowSlack).Seconds()))
 	}
 	return nil
 }
@@ -375,6 +376,20 @@
 	return max(0, min(room, tuning.HoldMax))
 }
 
+// AnswerWithin is how long after a cancellation a machine that may have a task of
+// the job can still be answered, and so the greatest age of an owner's knowledge of
+// cancellations: the answer renews the worker's lease, and the task must be gone in
+// time even if nothing reaches the worker after it.
+func (s *Settings) AnswerWithin() time.Duration {
+	lease := s.WorkerLease()
+	return seconds(s.Deployment.Workers.CancelS) - lease - lease*tuning.DriftPerMille/1000 - tuning.KnowSlack
+}
+
+// Skew bounds the difference of two nodes' times of day.
+func (s *Settings) Skew() time.Duration {
+	return 2 * time.Duration(s.Deployment.SkewMS*float64(time.Millisecond))
+}
+
 // FixBlocks sets the number of blocks to the one that was found stored.
 func (s *Settings) FixBlocks(blocks int) { s.blocks = blocks }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -26,6 +26,23 @@
 	// CancelSlack is kept free between the end of the last possible task of a
 	// cut-off owner and the cancellation limit.
 	CancelSlack = 6 * time.Second
+	// ProveEvery is the time between two proofs that an owner's copies of the jobs
+	// and of the leases are current, if users' questions bring none: what an
+	// outage leaves of AnswerWithin is shorter by that.
+	ProveEvery = 1500 * time.Millisecond
+	// KnowSlack is kept free between the end of the last task of a cancelled job
+	// that an answer can have kept alive and the cancellation limit: for the
+	// answer's way, coarse timers, and the users' being told after the commit.
+	KnowSlack = 3 * time.Second
+	// KnowLeast is the least time that the settings must leave for it: a proof
+	// takes ProveEvery, a request, and its repeat if it gets no answer.
+	KnowLeast = 5 * time.Second
+	// LaunchFresh is how old the proof may be that a job is not cancelled when a
+	// task of it is launched; it is no older than the placement in any case.
+	LaunchFresh = 2 * time.Second
+	// HaltEvery is the time between two direct orders to halt a task of a
+	// cancelled job that is not proven gone.
+	HaltEvery = 2 * time.Second
 	// GoneMargin is added to a worker's lease before its tasks count as gone.
 	GoneMargin = 1500 * time.Millisecond
 	// AbstainAfterStepDown is how long a node that gave up its lease, because
@@ -164,6 +181,9 @@
 	// UnhealthyAfter is how long a node may go without any answer from the
 	// state service before it calls itself unhealthy, if a peer has one.
 	UnhealthyAfter = 4 * time.Second
+	// AloneFor is how long a peer's word counts that the state service answers it:
+	// the peers are asked once a second.
+	AloneFor = 2500 * time.Millisecond
 )
 
 // Workers.
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -38,6 +38,10 @@
 	// Host is the machine that has, or may have, the task while it is Placed.
 	Host string
 
+	// At is when the task was placed: its launch needs a later proof that its job
+	// is not cancelled. Halted is when it was last ordered to end because it is.
+	At, Halted time.Duration
+
 	// Durable: the placement is committed, so the launch may be sent.
 	Durable bool
 	// DoneDurable: the completion is committed, so the machine may forget it.
