--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -317,6 +317,17 @@
 		w.finishAll(40 * second)
 		return func() bool { return w.cancelledBetween(0, 60*second) > 5 }
 	}},
+	{"users are mistaken while leaders change", func(w *world, seed int) func() bool {
+		w.fill(24, 5*second)
+		w.odd(700 * ms)
+		for i := range 5 {
+			w.after(time.Duration(12+i*8)*second, func() {
+				doing([]string{"leader crashes", "owner refused", "outage", "unheard writes"}[(seed+i)%4])(w, seed, 6*second)
+			})
+		}
+		w.finishAll(60 * second)
+		return func() bool { return w.cancelledBetween(0, 90*second) > 0 }
+	}},
 	{"only the answer of a transaction is lost", func(w *world, seed int) func() bool {
 		w.looks = true
 		w.unheard = 0.25
