Lower work counts only on machines that a need could use; one replica rented a hundred

Cause: rentals subtracted all processors that run lower work from the machines that a need may use. The replica's own wait was excluded as the cause: its queue was one second of one processor.

--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -54,16 +54,17 @@
 			}
 			return
 		}
-		cpus, movable := f.Load(r.Host)
-		work += movable
+		load := f.LoadOf(r.Host)
+		bound := load.CPUs - load.Movable
+		work += load.Movable
 		if r.Spot {
 			spot += use
 			return
 		}
 		ordinary += r.Type.CPUs
-		others += cpus - movable
+		others += bound
 		price := r.Type.Price / float64(max(each, 1))
-		if each > 0 && cpus-movable < slack && price > tuning.ExchangeGain*cost {
+		if each > 0 && bound < slack && price > tuning.ExchangeGain*cost {
 			list = append(list, dear{f.machines[r.Host], price})
 		}
 	})
--- a/internal/fleet/exchange_test.go
+++ b/internal/fleet/exchange_test.go
@@ -22,7 +22,7 @@
 	f.types = []jobs.MachineType{{Label: "g8", CPUs: 32, MemoryGB: 128, Price: 2, SpotPrice: 0.6, BootS: 30, Zones: []string{"a"}}}
 	f.since, f.listed = rt.now, true
 	start := rt.now
-	f.Load = func(host string) (cpus, movable float64) {
+	f.LoadOf = func(host string) Load {
 		m, taking := f.machines[host], 0.0
 		for _, o := range f.machines {
 			if o.drain == "" {
@@ -33,11 +33,11 @@
 		use := 0.7 * 32 * float64(number) / taking * load(rt.now-start)
 		switch {
 		case m.kind.Spot:
-			return use, use
+			return Load{CPUs: use, Movable: use}
 		case m.addr == "bound":
-			return use, use / 2
+			return Load{CPUs: use, Movable: use / 2}
 		}
-		return use, use
+		return Load{CPUs: use, Movable: use}
 	}
 	add := func(spot bool, addr string) {
 		id := fmt.Sprintf("vm-%06d", len(f.machines))
@@ -143,3 +143,40 @@
 		t.Errorf("%d ordinary machines for four small replicas", ordinary)
 	}
 }
+
+// TestLowerWorkElsewhereIsNoHindrance: a replica that fits nowhere just now rents one
+// machine at the most, whatever work of lower priority runs on machines that it may
+// not use. A hundred were rented for one on a calm day of a large fleet, since all
+// lower work was taken off the few machines that it may use.
+func TestLowerWorkElsewhereIsNoHindrance(t *testing.T) {
+	rt := &still{now: time.Hour}
+	set := &settings.Settings{}
+	set.Deployment.Cloud.RPS = 4
+	f := New(rt, "", leading{}, set, slog.New(slog.DiscardHandler))
+	f.types = []jobs.MachineType{{Label: "g8", CPUs: 32, MemoryGB: 128, Price: 2, SpotPrice: 0.6, BootS: 30, Zones: []string{"a"}}}
+	f.words[0] = word{token: 1, seq: 1, heard: rt.now, any: true}
+	for i := range 200 {
+		id := fmt.Sprintf("vm-%06d", i)
+		f.machines[id] = &machine{id: id, kind: Kind{"g8", "a", i >= 20}, listed: true, known: true, state: HostState{ID: id, Up: true, Open: true, Busy: true}}
+	}
+	standard := &jobs.Description{Urgency: "standard"}
+	f.LoadOf = func(string) Load {
+		l := Load{CPUs: 30, Movable: 30}
+		l.ByPriority[standard.Priority()] = 30
+		return l
+	}
+	replica := &jobs.Description{CPUs: 1, MemoryGB: 2, Shape: "daemon", Urgency: "urgent"}
+	f.Want([]Need{{Desc: replica, Number: 1, Soft: 4, Hard: 4}}, nil)
+	f.rent(f.term)
+	rented := 0
+	for _, c := range rt.calls {
+		var h hire
+		if err := json.Unmarshal(c.Body, &h); err != nil {
+			t.Fatal(err)
+		}
+		rented += h.Number
+	}
+	if rented > 1 {
+		t.Errorf("%d machines rented for one replica", rented)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -155,9 +155,6 @@
 	// Behind is tasks of the job that the team's limit holds back: they cannot
 	// use more machines now, but are part of the queue.
 	Behind int
-	// Below is the processors that run work of lower priority. They do not come
-	// free at the pace of this work, so they are no help to it.
-	Below float64
 	// Soft and Hard are how many seconds they can wait before an aim of the
 	// users is missed; Hard leaves out the aim for work within a guarantee.
 	Soft, Hard float64
@@ -169,13 +166,30 @@
 	return max(n.Desc.CPUs, n.Desc.MemoryGB/t.MemoryGB*t.CPUs)
 }
 
+// Load is what the tasks placed on a machine take.
+type Load struct {
+	CPUs float64
+	// Movable is the processors of tasks that could run on any spot machine.
+	Movable float64
+	// ByPriority divides CPUs among the priorities of the tasks.
+	ByPriority [jobs.Production + 1]float64
+}
+
+// Below is the processors taken by tasks of a lower priority.
+func (l *Load) Below(p jobs.Priority) float64 {
+	sum := 0.0
+	for _, cpus := range l.ByPriority[:p] {
+		sum += cpus
+	}
+	return sum
+}
+
 const slack = 1e-9 // sums of decimal amounts are not exact
 
 // Fleet is the leader's view of the cloud.
 type Fleet struct {
-	// Load tells what the tasks on a machine take, and what of it could as well run
-	// on spot machines.
-	Load func(host string) (cpus, movable float64)
+	// LoadOf tells what the tasks placed on a machine take.
+	LoadOf func(host string) Load
 
 	rt     engine.Runtime
 	addr   string
@@ -214,7 +228,7 @@
 func New(rt engine.Runtime, addr string, office Office, set *settings.Settings, log *slog.Logger) *Fleet {
 	return &Fleet{rt: rt, addr: addr, office: office, set: set, log: log,
 		machines: map[string]*machine{}, returned: map[string]time.Duration{}, pauses: map[Kind]time.Duration{},
-		Load:   func(string) (float64, float64) { return 0, 0 },
+		LoadOf: func(string) Load { return Load{} },
 		flying: map[string]hire{}, words: make([]word, set.Blocks()), news: make([][]string, set.Blocks()),
 		lit: map[string]time.Duration{}, running: map[string]int{}, darkAt: map[string]time.Duration{}}
 }
@@ -786,10 +800,48 @@
 		})
 }
 
-// capacity is the processors of the machines, up or booting, by kind.
-func (f *Fleet) capacity() map[Kind]float64 {
-	sum := map[Kind]float64{}
-	f.Rooms(func(r *Room) { sum[r.Kind] += r.Type.CPUs })
+// capacity is the machines of a kind, up or booting.
+type capacity struct {
+	cpus float64 // of all of them
+	used Load    // what their tasks take
+}
+
+// capacities is the machines by kind.
+type capacities map[Kind]*capacity
+
+// at is the entry of a kind, made when it is first asked for.
+func (c capacities) at(kind Kind) *capacity {
+	if c[kind] == nil {
+		c[kind] = &capacity{}
+	}
+	return c[kind]
+}
+
+// capacities sums up the machines by kind.
+func (f *Fleet) capacities() capacities {
+	sums := capacities{}
+	f.Rooms(func(r *Room) {
+		load := f.LoadOf(r.Host)
+		sums.at(r.Kind).cpus += r.Type.CPUs
+		for priority, cpus := range load.ByPriority {
+			sums.at(r.Kind).used.ByPriority[priority] += cpus
+		}
+	})
+	return sums
+}
+
+// available is the processors that a need can count on: those of the machines that
+// could run it, without what runs work of lower priority there, which does not come
+// free at the pace of this work. Lower work on other machines does not count: taken
+// off all the same, it left less than nothing for services that may use ordinary
+// machines only, and a hundred of these were rented for a single replica.
+func (f *Fleet) available(n *Need, have capacities) float64 {
+	sum := 0.0
+	for kind, c := range have {
+		if room := f.empty(kind); room.Type != nil && room.Could(n.Desc, n.Zone) {
+			sum += max(0, c.cpus-c.used.Below(n.Desc.Priority()))
+		}
+	}
 	return sum
 }
 
@@ -800,7 +852,7 @@
 	if f.types == nil || f.rt.Now()-f.begun < tuning.DigestEvery*2 {
 		return
 	}
-	have := f.capacity()
+	have := f.capacities()
 	behind := map[string]float64{} // by team, as queued
 	for i := range f.needs {
 		n := &f.needs[i]
@@ -819,7 +871,7 @@
 				if wanted[k] == 0 {
 					order = append(order, k)
 				}
-				have[k] += float64(number) * f.Type(k.Build).CPUs
+				have.at(k).cpus += float64(number) * f.Type(k.Build).CPUs
 				wanted[k] += number
 			}
 			continue
@@ -827,20 +879,14 @@
 		before += float64(n.Number) * n.Desc.CPUs * max(n.Desc.EstimateS, 1)
 		queued := before + behind[n.Desc.Team]
 		for n.Number > 0 {
-			cpus := 0.0
-			for k, c := range have {
-				if room := f.empty(k); room.Type != nil && room.Could(n.Desc, n.Zone) {
-					cpus += c
-				}
-			}
-			k, number := f.choose(n, queued, max(0, cpus-n.Below), f.needs[i:], wanted)
+			k, number := f.choose(n, queued, f.available(n, have), f.needs[i:], wanted)
 			if number == 0 {
 				break
 			}
 			if wanted[k] == 0 {
 				order = append(order, k)
 			}
-			have[k] += float64(number) * f.Type(k.Build).CPUs
+			have.at(k).cpus += float64(number) * f.Type(k.Build).CPUs
 			wanted[k] += number
 		}
 	}
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -230,19 +230,11 @@
 	board := l.board()
 	l.pause = tuning.RoundPause + time.Duration(board.number)*tuning.RoundPerMachine
 	var unmet []fleet.Need
-	var running [jobs.Production + 1]float64 // processors, by priority
-	for _, p := range l.order {
-		running[p.desc.Priority()] += float64(p.placed) * p.desc.CPUs
-	}
 	clear(l.recalls)
 	need := func(p *plan, zone string, n int) {
 		if n > 0 {
 			soft, hard := l.patience(p, now)
-			below := 0.0
-			for prio := range p.desc.Priority() {
-				below += running[prio]
-			}
-			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Soft: soft, Hard: hard, Below: below})
+			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Soft: soft, Hard: hard})
 		}
 	}
 	held := func(p *plan, n int) {
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -77,6 +77,7 @@
 	tasks               int
 	cpus, cards, memory float64
 	movable             float64 // processors of those that any spot machine could have
+	byPriority          [jobs.Production + 1]float64
 }
 
 // movable tells whether a job's tasks can as well run on spot machines.
@@ -133,11 +134,11 @@
 	fl *fleet.Fleet, set *settings.Settings, log *slog.Logger) *Leader {
 	l := &Leader{rt: rt, led: led, office: office, cat: cat, store: store, fleet: fl, set: set, log: log}
 	l.End()
-	fl.Load = func(host string) (cpus, movable float64) {
+	fl.LoadOf = func(host string) fleet.Load {
 		if h := l.loads[host]; h != nil {
-			return h.cpus, h.movable
+			return fleet.Load{CPUs: h.cpus, Movable: h.movable, ByPriority: h.byPriority}
 		}
-		return 0, 0
+		return fleet.Load{}
 	}
 	return l
 }
@@ -306,6 +307,7 @@
 	}
 	h.tasks += sign
 	h.cpus += s * p.desc.CPUs
+	h.byPriority[p.desc.Priority()] += s * p.desc.CPUs
 	if movable(p.desc) {
 		h.movable += s * p.desc.CPUs
 	}
