Only aims that a machine rented now can still meet are a reason to rent

The aim for work within a guarantee goes as a reason: no boot is that short. Excluded: the capacity that is counted; machines that boot are in it.

--- a/internal/fleet/exchange_test.go
+++ b/internal/fleet/exchange_test.go
@@ -127,7 +127,7 @@
 	f.types = []jobs.MachineType{{Label: "g8", CPUs: 32, MemoryGB: 128, Price: 2, SpotPrice: 0.6, BootS: 30, Zones: []string{"a"}}}
 	low := &jobs.Description{CPUs: 4, MemoryGB: 8, Spot: true, EstimateS: 60, Urgency: "standard"}
 	high := &jobs.Description{CPUs: 1, MemoryGB: 2, EstimateS: 0, Shape: "daemon", Urgency: "urgent"}
-	f.Want([]Need{{Desc: low, Number: 100, Soft: 60, Hard: 60}, {Desc: high, Number: 4, Soft: 4, Hard: 4}}, nil)
+	f.Want([]Need{{Desc: low, Number: 100, Aims: []float64{60}}, {Desc: high, Number: 4, Aims: []float64{4}}}, nil)
 	f.rent(f.term)
 	ordinary := 0
 	for _, c := range rt.calls {
@@ -166,7 +166,7 @@
 		return l
 	}
 	replica := &jobs.Description{CPUs: 1, MemoryGB: 2, Shape: "daemon", Urgency: "urgent"}
-	f.Want([]Need{{Desc: replica, Number: 1, Soft: 4, Hard: 4}}, nil)
+	f.Want([]Need{{Desc: replica, Number: 1, Aims: []float64{4}}}, nil)
 	f.rent(f.term)
 	rented := 0
 	for _, c := range rt.calls {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -155,9 +155,22 @@
 	// Behind is tasks of the job that the team's limit holds back: they cannot
 	// use more machines now, but are part of the queue.
 	Behind int
-	// Soft and Hard are how many seconds they can wait before an aim of the
-	// users is missed; Hard leaves out the aim for work within a guarantee.
-	Soft, Hard float64
+	// Aims is how many seconds they can still wait for each of the users' aims
+	// that is not missed yet, without the one for work within a guarantee.
+	Aims []float64
+}
+
+// patience is how long the tasks can wait for the next aim that a machine which is
+// there after so many seconds can still meet; most if there is none. An aim that
+// will be missed or met before a machine could be up is no reason to rent one:
+// counted as one, jobs of five seconds had hundreds rented for the first minute.
+func (n *Need) patience(ready, most float64) float64 {
+	for _, left := range n.Aims {
+		if left > ready {
+			most = min(most, left)
+		}
+	}
+	return most
 }
 
 // cpus is what a task takes of a machine type, its memory counted as the
@@ -915,9 +928,9 @@
 				if now < f.pauses[k] || f.dark(zone) || wanted[k] >= tuning.HireAhead || !f.empty(k).Could(n.Desc, n.Zone) {
 					continue
 				}
-				price, wait := t.Price, f.wait(n.Hard, t, n.Desc)
+				price, wait := t.Price, f.wait(n, t, tuning.MissedPatience)
 				if spot {
-					price, wait = t.SpotPrice, f.wait(n.Soft, t, n.Desc)
+					price, wait = t.SpotPrice, f.wait(n, t, tuning.PatienceMost)
 				}
 				if cpus > 0 && queued/cpus <= wait {
 					continue
@@ -1034,14 +1047,14 @@
 	return false
 }
 
-// wait is how long a queue may be before a machine of a type is worth its boot,
-// for tasks that can wait so many seconds.
-func (f *Fleet) wait(patience float64, t *jobs.MachineType, d *jobs.Description) float64 {
-	fetch := 0.0
+// wait is how many seconds a queue may take before a machine of a type is worth its
+// boot for a need; most bounds the patience of one that has no aim left.
+func (f *Fleet) wait(n *Need, t *jobs.MachineType, most time.Duration) float64 {
+	ready := t.BootS
 	if t.PullRate > 0 {
-		fetch = d.ImageGB / t.PullRate
+		ready += n.Desc.ImageGB / t.PullRate
 	}
-	return max(tuning.RentBacklog*t.BootS, tuning.PatienceShare*(patience-t.BootS-fetch))
+	return max(tuning.RentBacklog*t.BootS, tuning.PatienceShare*(n.patience(ready, most.Seconds())-ready))
 }
 
 // empty is a machine of a kind with nothing on it.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -110,7 +110,7 @@
 		have := 0.0
 		f.Rooms(func(r *Room) { have += r.Type.CPUs })
 		waiting := max(0, 800-int(have/16))
-		f.Want([]Need{{Desc: job, Number: waiting / 2, Soft: 10, Hard: 100}, {Desc: job, Number: waiting - waiting/2, Soft: 10, Hard: 100}}, nil)
+		f.Want([]Need{{Desc: job, Number: waiting / 2, Aims: []float64{100}}, {Desc: job, Number: waiting - waiting/2, Aims: []float64{100}}}, nil)
 		first := len(rt.calls)
 		f.rent(0)
 		// The cloud allows four a second and bursts of two seconds' worth.
@@ -189,7 +189,7 @@
 	if rooms, returned := count(); rooms != 30 || returned != 0 {
 		t.Errorf("%d rooms, %d machines returned", rooms, returned)
 	}
-	f.Want([]Need{{Desc: &jobs.Description{CPUs: 4, MemoryGB: 4, Spot: true, EstimateS: 40}, Number: 500, Soft: 1, Hard: 60}}, nil)
+	f.Want([]Need{{Desc: &jobs.Description{CPUs: 4, MemoryGB: 4, Spot: true, EstimateS: 40}, Number: 500, Aims: []float64{60}}}, nil)
 	first := len(rt.calls)
 	f.rent(0)
 	for _, c := range rt.calls[first:] {
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -233,8 +233,7 @@
 	clear(l.recalls)
 	need := func(p *plan, zone string, n int) {
 		if n > 0 {
-			soft, hard := l.patience(p, now)
-			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Soft: soft, Hard: hard})
+			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Aims: l.openAims(p, now)})
 		}
 	}
 	held := func(p *plan, n int) {
@@ -243,7 +242,7 @@
 		}
 	}
 	l.keepWarm(board, func(d *jobs.Description, zone string, n int) {
-		unmet = append(unmet, fleet.Need{Desc: d, Zone: zone, Number: n, Soft: tuning.PatienceMost.Seconds(), Hard: tuning.PatienceMost.Seconds()})
+		unmet = append(unmet, fleet.Need{Desc: d, Zone: zone, Number: n, Aims: []float64{tuning.PatienceMost.Seconds()}})
 	})
 	// Tasks already in a block's queues take the room there is in it.
 	for _, p := range l.order {
@@ -361,23 +360,17 @@
 	}
 }
 
-// patience is how many seconds a job's tasks can still wait for a machine
-// before one of the users' aims for it is missed; hard leaves out the aim that
-// work within a guarantee starts at once.
-func (l *Leader) patience(p *plan, nowMS int64) (soft, hard float64) {
+// openAims is how many seconds a job's tasks can still wait for a machine for each
+// of the users' aims that is not missed yet.
+func (l *Leader) openAims(p *plan, nowMS int64) []float64 {
 	age := float64(nowMS-p.e.At) / 1000
-	soft, hard = tuning.PatienceMost.Seconds(), tuning.MissedPatience.Seconds()
-	for _, o := range l.set.Deployment.Objectives {
-		if left := o.WithinS - age; o.Kind == "guarantee" && p.within && left > 0 {
-			soft = min(soft, left)
-		}
-	}
+	var open []float64
 	l.set.Aims(p.desc.Class, p.desc.EstimateS, p.desc.DeadlineS, func(latest float64) {
-		if left := latest - age; left > 0 { // an aim that is missed already is no reason to hurry
-			hard = min(hard, left)
+		if left := latest - age; left > 0 {
+			open = append(open, left)
 		}
 	})
-	return min(soft, hard), hard
+	return open
 }
 
 // place finds blocks for up to n tasks of a job: where there is room, at home
