Needs are taken in the order of hand-out: a small job waits behind none that goes after it

Cause: tasks queued in blocks came first in the list of needs, so small jobs with near aims were taken to wait behind the largest. Test: TestSmallJobsWaitForNone.

--- a/internal/fleet/exchange_test.go
+++ b/internal/fleet/exchange_test.go
@@ -117,6 +117,30 @@
 	}
 }
 
+// TestSmallJobsWaitForNone: a small job that goes before a large one is not taken to
+// wait behind it because tasks of the large one are queued already; ordinary machines
+// were rented for it though its aim leaves it enough time.
+func TestSmallJobsWaitForNone(t *testing.T) {
+	rt := &still{now: time.Hour}
+	set := &settings.Settings{}
+	set.Deployment.Cloud.RPS = 4
+	f := New(rt, "", leading{}, set, slog.New(slog.DiscardHandler))
+	f.types = []jobs.MachineType{{Label: "g8", CPUs: 32, MemoryGB: 128, Price: 2, SpotPrice: 0.6, BootS: 30, Zones: []string{"a"}}}
+	f.words[0] = word{token: 1, seq: 1, heard: rt.now, any: true}
+	for i := range 10 {
+		id := fmt.Sprintf("vm-%06d", i)
+		f.machines[id] = &machine{id: id, kind: Kind{"g8", "a", false}, listed: true, known: true, state: HostState{ID: id, Up: true, Open: true, Busy: true}}
+	}
+	f.pauses[Kind{"g8", "a", true}] = rt.now + time.Hour // no spot machines to be had
+	large := &jobs.Description{CPUs: 4, MemoryGB: 8, Spot: true, EstimateS: 100, Urgency: "standard"}
+	small := &jobs.Description{CPUs: 4, MemoryGB: 8, Spot: true, EstimateS: 5, Urgency: "standard"}
+	f.Want([]Need{{Desc: large, Number: 75, Rank: 1, Aims: []float64{300}}, {Desc: small, Number: 2, Rank: 0, Aims: []float64{60}}}, nil)
+	f.rent(f.term)
+	if len(rt.calls) != 0 {
+		t.Errorf("rented: %s", rt.calls[0].Body)
+	}
+}
+
 // TestNeedsWaitBehindTheirRank: an urgent need is not taken to wait behind work of a
 // lower rank that was queued before it.
 func TestNeedsWaitBehindTheirRank(t *testing.T) {
@@ -127,7 +151,7 @@
 	f.types = []jobs.MachineType{{Label: "g8", CPUs: 32, MemoryGB: 128, Price: 2, SpotPrice: 0.6, BootS: 30, Zones: []string{"a"}}}
 	low := &jobs.Description{CPUs: 4, MemoryGB: 8, Spot: true, EstimateS: 60, Urgency: "standard"}
 	high := &jobs.Description{CPUs: 1, MemoryGB: 2, EstimateS: 0, Shape: "daemon", Urgency: "urgent"}
-	f.Want([]Need{{Desc: low, Number: 100, Aims: []float64{60}}, {Desc: high, Number: 4, Aims: []float64{4}}}, nil)
+	f.Want([]Need{{Desc: low, Number: 100, Rank: 1, Aims: []float64{60}}, {Desc: high, Number: 4, Aims: []float64{4}}}, nil)
 	f.rent(f.term)
 	ordinary := 0
 	for _, c := range rt.calls {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -152,6 +153,8 @@
 	Desc   *jobs.Description
 	Zone   string // fixed at hand-out, "" for any
 	Number int
+	// Rank is the job's place in the order in which work is handed out.
+	Rank int
 	// Behind is tasks of the job that the team's limit holds back: they cannot
 	// use more machines now, but are part of the queue.
 	Behind int
@@ -642,11 +645,11 @@
 // Want tells for which tasks there is no room, and of which job most runs that could
 // as well run on spot machines, nil if there is none.
 func (f *Fleet) Want(needs []Need, movable *jobs.Description) {
-	// A need waits behind those of its own rank and above. Tasks that are queued
-	// already come first in the list, whatever their rank: services, which may use no
-	// spot machines, were taken to wait behind all of the arrays, and hundreds of
-	// ordinary machines were rented for them.
-	slices.SortStableFunc(needs, func(a, b Need) int { return int(b.Desc.Priority()) - int(a.Desc.Priority()) })
+	// A need waits behind the work that goes before it, and that only. Tasks that are
+	// queued already come first in the list, whatever their rank: services, which may
+	// use no spot machines, were taken to wait behind all of the arrays, and small jobs
+	// behind the largest, and hundreds of ordinary machines were rented for them.
+	slices.SortStableFunc(needs, func(a, b Need) int { return cmp.Compare(a.Rank, b.Rank) })
 	f.needs, f.movable = needs, movable
 }
 
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -227,13 +227,16 @@
 		sort.Slice(l.order, func(i, k int) bool { return before(l.order[i], l.order[k]) })
 		l.resort = false
 	}
+	for i, p := range l.order {
+		p.rank = i
+	}
 	board := l.board()
 	l.pause = tuning.RoundPause + time.Duration(board.number)*tuning.RoundPerMachine
 	var unmet []fleet.Need
 	clear(l.recalls)
 	need := func(p *plan, zone string, n int) {
 		if n > 0 {
-			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Aims: l.openAims(p, now)})
+			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Rank: p.rank, Aims: l.openAims(p, now)})
 		}
 	}
 	held := func(p *plan, n int) {
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -40,6 +40,7 @@
 	waiting   []int // of those, in the blocks' queues
 	ending    bool
 	starved   bool          // waits for its first task for too long
+	rank      int           // place in the order at the latest hand-out
 	missed    int           // aims that it cannot meet any more
 	torn      time.Duration // a gang: since when only a part of it has come back
 	handed    time.Duration // a gang: when it was last handed out
