Services are packed on few ordinary machines; arrays fill the others first

Cause: a new replica went to the fullest machine, of whatever kind, and so a few hundred of them were scattered over all ordinary machines; none of these could be returned after a burst.

--- a/internal/agents/table.go
+++ b/internal/agents/table.go
@@ -47,6 +47,8 @@
 	CPUs   float64 // taken by Tasks
 	Cards  float64
 	Memory float64
+	// ServiceCPUs is the part of CPUs that replicas of services take.
+	ServiceCPUs float64
 
 	// KeptCPUs, KeptCards and KeptMemory are kept for gangs to come.
 	KeptCPUs, KeptCards, KeptMemory float64
@@ -79,6 +81,34 @@
 	return h.Type.CPUs - h.CPUs, h.Type.Cards - h.Cards, h.Type.MemoryGB - h.Memory
 }
 
+// Add notes that a task takes room on the machine.
+func (h *Host) Add(k *work.Task) {
+	d := k.Job.Desc
+	h.Tasks[k] = true
+	h.CPUs += d.CPUs
+	h.Cards += d.Cards
+	h.Memory += d.MemoryGB
+	if d.Service() {
+		h.ServiceCPUs += d.CPUs
+	}
+	h.Use(d.Image, d.ImageGB)
+}
+
+// Remove notes that a task has left its room on the machine.
+func (h *Host) Remove(k *work.Task) {
+	d := k.Job.Desc
+	delete(h.Tasks, k)
+	h.CPUs -= d.CPUs
+	h.Cards -= d.Cards
+	h.Memory -= d.MemoryGB
+	if d.Service() {
+		h.ServiceCPUs -= d.CPUs
+	}
+	if len(h.Tasks) == 0 { // sums of decimal amounts are not exact
+		h.CPUs, h.Cards, h.Memory, h.ServiceCPUs = 0, 0, 0, 0
+	}
+}
+
 // Caches tells whether the machine has, or is fetching, an image.
 func (h *Host) Caches(image string) bool { return h.images.Has(image) }
 
@@ -349,26 +379,18 @@
 }
 
 func (t *Table) occupy(h *Host, k *work.Task) {
-	h.Tasks[k] = true
 	if !k.Imaged {
 		h.Fetching++
 	}
-	h.CPUs += k.Job.Desc.CPUs
-	h.Cards += k.Job.Desc.Cards
-	h.Memory += k.Job.Desc.MemoryGB
-	h.Use(k.Job.Desc.Image, k.Job.Desc.ImageGB)
+	h.Add(k)
 }
 
 func (t *Table) vacate(h *Host, k *work.Task) {
 	if !h.Tasks[k] {
 		return
 	}
-	delete(h.Tasks, k)
-	h.CPUs -= k.Job.Desc.CPUs
-	h.Cards -= k.Job.Desc.Cards
-	h.Memory -= k.Job.Desc.MemoryGB
+	h.Remove(k)
 	if len(h.Tasks) == 0 {
-		h.CPUs, h.Cards, h.Memory = 0, 0, 0
 		h.Idle = t.rt.Now()
 	}
 	if !k.Imaged {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,7 +5,6 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -128,7 +127,9 @@
 type round struct {
 	now  time.Duration
 	open []*agents.Host // machines that take tasks
-	free []*agents.Host // those with room, the smallest and fullest first
+	free []*agents.Host // those with room, in the order in which arrays fill them
+	// forServices is the same machines in the order in which services fill them.
+	forServices []*agents.Host
 	// waiting is one task of each job in the queues, for a quick look at
 	// whether a machine has room for anything at all.
 	waiting []*work.Task
@@ -149,10 +150,7 @@
 			r.free = append(r.free, h)
 		}
 	}
-	// The smallest first, since large tasks have only the large ones; of those
-	// the cheap ones, then the fullest, so that dear ones and others run empty
-	// and can be returned.
-	slices.SortStableFunc(r.free, tighter)
+	r.sort()
 	p.clean(r)
 	p.reorder(r)
 	p.muster(r)
@@ -161,22 +159,6 @@
 	p.arrive(r)
 }
 
-// tighter orders machines with room.
-func tighter(a, b *agents.Host) int {
-	if a.Type.CPUs != b.Type.CPUs {
-		return cmp.Compare(a.Type.CPUs, b.Type.CPUs)
-	}
-	if a.Spot != b.Spot {
-		if a.Spot {
-			return -1
-		}
-		return 1
-	}
-	x, _, _ := a.Free()
-	y, _, _ := b.Free()
-	return cmp.Compare(x, y)
-}
-
 // clean removes tasks that no longer wait, and gives back the queues of
 // machines that are gone or take no tasks.
 func (p *Planner) clean(r *round) {
@@ -254,7 +236,7 @@
 		if len(some) == 0 {
 			continue
 		}
-		for _, h := range r.free {
+		for _, h := range r.orderFor(some...) {
 			if r.kept[h] > prio {
 				continue
 			}
@@ -362,7 +344,7 @@
 	var skip *work.Job
 	serve := func(t *work.Task, over jobs.Priority) {
 		var best *agents.Host
-		for _, h := range r.free {
+		for _, h := range r.orderFor(t) {
 			if _, taken := r.kept[h]; !taken && (fits(t, h) || (r.starved(t.Job) && fitsAtAll(t, h))) {
 				best = h
 				break
@@ -442,7 +424,7 @@
 func (p *Planner) spread(tasks []*work.Task, r *round) []*work.Task {
 	image := tasks[0].Job.Desc.Image
 	for near := range 3 {
-		for _, h := range r.free {
+		for _, h := range r.orderFor(tasks[0]) {
 			if nearness(h, image) != near || r.kept[h] > tasks[0].Job.Desc.Priority() {
 				continue
 			}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -40,10 +40,7 @@
 	y.Missed = func(*work.Job, float64) int { return 0 }
 	y.Place = func(t *work.Task, h *agents.Host) {
 		t.State, t.Host, t.Job.Began = work.Placed, h.ID, true
-		h.Tasks[t] = true
-		h.CPUs += t.Job.Desc.CPUs
-		h.Memory += t.Job.Desc.MemoryGB
-		h.Use(t.Job.Desc.Image, t.Job.Desc.ImageGB)
+		h.Add(t)
 	}
 	return y
 }
@@ -52,10 +49,7 @@
 
 // end takes a task off its machine.
 func (y *yard) end(t *work.Task) {
-	h := y.Find(t.Host)
-	delete(h.Tasks, t)
-	h.CPUs -= t.Job.Desc.CPUs
-	h.Memory -= t.Job.Desc.MemoryGB
+	y.Find(t.Host).Remove(t)
 	t.State = work.Done
 }
 
