--- a/internal/block/shelf.go
+++ b/internal/block/shelf.go
@@ -136,8 +136,8 @@
 	}
 	j := s.jobs[r.Job]
 	if j == nil {
-		j = &work.Job{Desc: e.Job, Submitted: e.At, Within: s.cat.Within(e), Cancelled: e.Phase == intake.Cancelled,
-			Tasks: map[int]*work.Task{}, Chunks: map[string]*work.Chunk{}}
+		j = work.NewJob(e.Job, e.At, s.cat.Within(e))
+		j.Cancelled = e.Phase == intake.Cancelled
 		if e.Job.Gang() {
 			j.Gang = &work.Gang{}
 			for _, o := range s.store.OfJob(r.Job) {
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -65,7 +65,9 @@
 	o.planner.Find = o.table.Get
 	o.planner.Place = o.table.Place
 	o.planner.Prompt = n.set.Prompt
-	o.planner.Missed = func(j *work.Job, age float64) int { return j.Desc.Missed(n.set, age) }
+	o.planner.Rerank = func(j *work.Job, wallMS int64) bool {
+		return j.Rank.Update(j.Desc, n.set, wallMS, j.Open())
+	}
 	return o
 }
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -54,9 +54,9 @@
 // Priority of the job.
 func (d *Description) Priority() Priority { return priorities[d.Urgency] }
 
-// Size orders jobs by their work, by powers of two.
-func (d *Description) Size() int {
-	return bits.Len64(uint64(float64(d.Tasks) * d.CPUs * max(d.EstimateS, 1)))
+// Size is the work of so many of the job's tasks, by powers of two.
+func (d *Description) Size(tasks int) int {
+	return bits.Len64(uint64(float64(tasks) * d.CPUs * max(d.EstimateS, 1)))
 }
 
 // Service tells whether the tasks run until the job is cancelled.
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -218,8 +218,8 @@
 			p.starved, l.resort = false, true
 		}
 		if p.left() > 0 && !p.cancelled {
-			if n := p.desc.Missed(l.set, float64(now-p.e.At)/1000); n != p.missed {
-				p.missed, l.resort = n, true
+			if p.rank.Update(p.desc, l.set, now, p.desc.Tasks-p.done) {
+				l.resort = true
 			}
 		}
 	}
@@ -228,7 +228,7 @@
 		l.resort = false
 	}
 	for i, p := range l.order {
-		p.rank = i
+		p.place = i
 	}
 	board := l.board()
 	l.pause = tuning.RoundPause + time.Duration(board.number)*tuning.RoundPerMachine
@@ -236,7 +236,7 @@
 	clear(l.recalls)
 	need := func(p *plan, zone string, n int) {
 		if n > 0 {
-			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Rank: p.rank, Aims: l.openAims(p, now)})
+			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Rank: p.place, Aims: l.openAims(p, now)})
 		}
 	}
 	held := func(p *plan, n int) {
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -27,7 +27,7 @@
 type plan struct {
 	e         *intake.Entry
 	desc      *jobs.Description
-	within    bool
+	rank      jobs.Rank
 	cancelled bool
 	zones     []string
 	next      int            // first task never handed out
@@ -40,8 +40,7 @@
 	waiting   []int // of those, in the blocks' queues
 	ending    bool
 	starved   bool          // waits for its first task for too long
-	rank      int           // place in the order at the latest hand-out
-	missed    int           // aims that it cannot meet any more
+	place     int           // in the order at the latest hand-out
 	torn      time.Duration // a gang: since when only a part of it has come back
 	handed    time.Duration // a gang: when it was last handed out
 }
@@ -257,7 +256,7 @@
 }
 
 func (l *Leader) add(e *intake.Entry) *plan {
-	p := &plan{e: e, desc: e.Job, within: l.cat.Within(e), attempts: map[int]uint64{}, waiting: make([]int, l.set.Blocks())}
+	p := &plan{e: e, desc: e.Job, rank: jobs.NewRank(e.Job, e.At, l.cat.Within(e)), attempts: map[int]uint64{}, waiting: make([]int, l.set.Blocks())}
 	l.plans[e.ID] = p
 	l.order = append(l.order, p)
 	l.resort = true
@@ -662,22 +661,7 @@
 	if a.starved != b.starved {
 		return a.starved
 	}
-	if p, q := a.desc.Priority(), b.desc.Priority(); p != q {
-		return p > q
-	}
-	if a.missed != b.missed {
-		return a.missed < b.missed
-	}
-	if a.within != b.within {
-		return a.within
-	}
-	if p, q := a.desc.Size(), b.desc.Size(); p != q {
-		return p < q
-	}
-	if a.e.At != b.e.At {
-		return a.e.At < b.e.At
-	}
-	return a.e.ID < b.e.ID
+	return a.rank.Before(&b.rank)
 }
 
 // Recalls takes what a block is asked to give back.
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -127,7 +127,7 @@
 		if len(tasks) == 0 || slices.ContainsFunc(tasks, func(t *work.Task) bool { return !due(t, r.now) }) {
 			continue
 		}
-		j.Missed = p.Missed(j, float64(r.wall-j.Submitted)/1000)
+		p.Rerank(j, r.wall)
 		slices.SortFunc(tasks, func(a, b *work.Task) int { return cmp.Compare(a.Index, b.Index) })
 		r.gangs = append(r.gangs, gang{j, tasks})
 	}
--- a/internal/placement/gang_test.go
+++ b/internal/placement/gang_test.go
@@ -16,8 +16,9 @@
 
 // gang makes a gang whose tasks arrive.
 func (y *yard) gang(id int, image string, cpus float64, tasks int, zones ...string) *work.Job {
-	j := &work.Job{Desc: &jobs.Description{ID: fmt.Sprintf("wk-%d", id), Class: "g", Shape: "gang", Urgency: "standard", Image: image, ImageGB: 1, CPUs: cpus,
-		MemoryGB: cpus, Spot: true, Tasks: tasks}, Gang: &work.Gang{}, Submitted: y.now.Milliseconds() + int64(id), Tasks: map[int]*work.Task{}, Chunks: map[string]*work.Chunk{}}
+	j := work.NewJob(&jobs.Description{ID: fmt.Sprintf("wk-%d", id), Class: "g", Shape: "gang", Urgency: "standard", Image: image, ImageGB: 1, CPUs: cpus,
+		MemoryGB: cpus, Spot: true, Tasks: tasks}, y.now.Milliseconds()+int64(id), false)
+	j.Gang = &work.Gang{}
 	index := make([]int, tasks)
 	for i := range index {
 		index[i] = i
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,9 +23,8 @@
 	Find func(id string) *agents.Host
 	// Place gives a task to a machine.
 	Place func(*work.Task, *agents.Host)
-	// Missed counts the aims that a job of an age in seconds cannot meet any
-	// more.
-	Missed func(j *work.Job, age float64) int
+	// Rerank brings a job's rank up to a time of day and tells whether it changed.
+	Rerank func(j *work.Job, wallMS int64) bool
 	// Prompt tells whether gangs of a class should find room at once.
 	Prompt func(class string) bool
 	// WaitBound is the wait in the extra queue after which a task goes first.
@@ -195,12 +194,12 @@
 	}
 }
 
-// reorder sorts the queues anew when a job has come to miss an aim.
+// reorder sorts the queues anew when the rank of a job has changed.
 func (p *Planner) reorder(r *round) {
 	changed := false
 	look := func(j *work.Job) {
-		if n := p.Missed(j, float64(r.wall-j.Submitted)/1000); n != j.Missed {
-			j.Missed, changed = n, true
+		if p.Rerank(j, r.wall) {
+			changed = true
 		}
 	}
 	for _, t := range r.waiting {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -37,7 +37,7 @@
 		}
 		return nil
 	}
-	y.Missed = func(*work.Job, float64) int { return 0 }
+	y.Rerank = func(*work.Job, int64) bool { return false }
 	y.Place = func(t *work.Task, h *agents.Host) {
 		t.State, t.Host, t.Job.Began = work.Placed, h.ID, true
 		h.Add(t)
@@ -55,8 +55,8 @@
 
 // job makes a job whose tasks arrive.
 func (y *yard) job(id int, urgency, image string, cpus float64, tasks int) []*work.Task {
-	j := &work.Job{Desc: &jobs.Description{ID: fmt.Sprintf("wk-%d", id), Urgency: urgency, Image: image, ImageGB: 1, CPUs: cpus, MemoryGB: cpus, Spot: true},
-		Submitted: y.now.Milliseconds() + int64(id), Tasks: map[int]*work.Task{}}
+	j := work.NewJob(&jobs.Description{ID: fmt.Sprintf("wk-%d", id), Urgency: urgency, Image: image, ImageGB: 1, CPUs: cpus, MemoryGB: cpus, Spot: true},
+		y.now.Milliseconds()+int64(id), false)
 	var list []*work.Task
 	for i := range tasks {
 		t := &work.Task{Job: j, Index: i}
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -90,8 +90,7 @@
 type Job struct {
 	Desc      *jobs.Description
 	Submitted int64 // ms since the epoch, by the accepting node's clock
-	Within    bool  // see lead: fits its team's guarantee
-	Missed    int   // aims that it cannot meet any more
+	Rank      jobs.Rank
 	Cancelled bool
 	Began     bool // a task of it has been placed
 	Tasks     map[int]*Task
@@ -102,26 +101,24 @@
 	Elsewhere bool          // a part of a divided gang is done in another block
 }
 
-// Before orders jobs: priority, then work within a guarantee, then age.
-func Before(a, b *Job) bool {
-	if p, q := a.Desc.Priority(), b.Desc.Priority(); p != q {
-		return p > q
-	}
-	if a.Missed != b.Missed {
-		return a.Missed < b.Missed
-	}
-	if a.Within != b.Within {
-		return a.Within
-	}
-	if p, q := a.Desc.Size(), b.Desc.Size(); p != q {
-		return p < q
-	}
-	if a.Submitted != b.Submitted {
-		return a.Submitted < b.Submitted
+// NewJob returns a job of which no task is known yet.
+func NewJob(d *jobs.Description, submitted int64, within bool) *Job {
+	return &Job{Desc: d, Submitted: submitted, Rank: jobs.NewRank(d, submitted, within),
+		Tasks: map[int]*Task{}, Chunks: map[string]*Chunk{}}
+}
+
+// Open counts the block's tasks of the job that are neither done nor given back.
+func (j *Job) Open() int {
+	open := 0
+	for _, c := range j.Chunks {
+		open += c.Open
 	}
-	return a.Desc.ID < b.Desc.ID
+	return open
 }
 
+// Before orders jobs by their ranks.
+func Before(a, b *Job) bool { return a.Rank.Before(&b.Rank) }
+
 // Chunk is the owner's working copy of a record.
 type Chunk struct {
 	Job    *Job
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -168,7 +168,9 @@
 // their aims, and jobs of about the same size go by age.
 func TestOrderOfJobs(t *testing.T) {
 	job := func(id, urgency string, missed int, within bool, tasks int, at int64) *Job {
-		return &Job{Desc: &jobs.Description{ID: id, Urgency: urgency, Tasks: tasks, CPUs: 1, EstimateS: 10}, Missed: missed, Within: within, Submitted: at}
+		j := NewJob(&jobs.Description{ID: id, Urgency: urgency, Tasks: tasks, CPUs: 1, EstimateS: 10}, at, within)
+		j.Rank.Missed = missed
+		return j
 	}
 	order := []*Job{
 		job("wk-1", "urgent", 0, true, 10, 50), job("wk-2", "urgent", 0, true, 200, 10), job("wk-3", "urgent", 0, true, 190, 20),
