--- /dev/null
+++ b/internal/agents/cancel.go
@@ -0,0 +1,70 @@
+package agents
+
+import (
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// halts adds the orders that end what a machine may have of cancelled jobs. They are
+// repeated until each task is proven gone, by whichever message there is: a halt
+// names the attempt, so that repeated or late it does no harm.
+func (t *Table) halts(h *Host, orders []Order) []Order {
+	now := t.rt.Now()
+	for k := range h.Tasks {
+		if k.Job.Cancelled && k.Sent && len(orders) < tuning.OrdersPerMessage {
+			k.Halted = now
+			orders = append(orders, halt(k.Ref(), k.Try(), 0))
+		}
+	}
+	return orders
+}
+
+// Cancel has the tasks of a cancelled job halted at once: with the next report the
+// order would leave seconds later, and a machine whose reports are lost can still
+// be reached.
+func (t *Table) Cancel(j *work.Job) {
+	for _, k := range j.Tasks {
+		if h := t.hosts[k.Host]; h != nil && k.State == work.Placed {
+			t.ready[h] = true
+		}
+	}
+}
+
+// outlives tells whether a machine may have a task of a job that was cancelled so
+// long ago that an answer could keep it alive past the users' limit: the worker's
+// lease runs on from the report, and nothing more may reach it. Such a machine is
+// not answered until the task is proven gone, by direct orders if they reach it, by
+// the end of its lease if not.
+func (t *Table) outlives(h *Host, r *Report) bool {
+	old := func(job string) bool {
+		age, cancelled := t.book.CancelledFor(job)
+		return cancelled && age >= t.set.AnswerWithin()
+	}
+	for k := range h.Tasks {
+		if k.Job.Cancelled && k.Sent && old(k.Job.Desc.ID) {
+			return true
+		}
+	}
+	for i := range r.Tasks {
+		if job, _, ok := splitRef(r.Tasks[i].Task); ok && r.Tasks[i].Phase != "ended" && old(job) {
+			return true
+		}
+	}
+	return false
+}
+
+// cancelled gives the orders that end the tasks of cancelled jobs in a report.
+func (t *Table) cancelled(r *Report) []Order {
+	var orders []Order
+	for i := range r.Tasks {
+		l := &r.Tasks[i]
+		job, _, ok := splitRef(l.Task)
+		if !ok || l.Phase == "ended" || len(orders) >= tuning.OrdersPerMessage {
+			continue
+		}
+		if _, off := t.book.CancelledFor(job); off {
+			orders = append(orders, halt(l.Task, l.Attempt, 0))
+		}
+	}
+	return orders
+}
--- /dev/null
+++ b/internal/agents/orders.go
@@ -0,0 +1,126 @@
+package agents
+
+import (
+	"encoding/json"
+
+	"lemonmoor/internal/engine"
+	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// Settle sends direct orders for placements that have become durable.
+func (t *Table) Settle() {
+	if !t.book.IsLoaded() || !t.office.Valid() {
+		clear(t.ready)
+		return
+	}
+	t.greet()
+	if len(t.held) > 0 && t.office.Fresh(t.heldAt) {
+		for h := range t.held {
+			t.ready[h] = true
+		}
+		clear(t.held)
+	}
+	for h := range t.ready {
+		if h.flying {
+			continue // looked at again when the answer is in
+		}
+		delete(t.ready, h)
+		if !h.Up || h.Token != t.office.Token() || h.Silent || h.Deaf {
+			continue
+		}
+		t.direct(h)
+	}
+}
+
+// direct sends the launches that wait for a machine, each in this one message
+// only.
+func (t *Table) direct(h *Host) {
+	token := t.office.Token()
+	msg := Orders{Token: token, Shift: h.Shift}
+	var carried []*work.Task
+	for k := range h.Tasks {
+		if h.Draining == "" && len(carried) < tuning.OrdersPerMessage && k.Launchable() {
+			if !t.office.Fresh(k.At) {
+				t.held[h], t.heldAt = true, max(t.heldAt, k.At)
+				continue
+			}
+			carried = append(carried, k)
+			msg.Orders = append(msg.Orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Try()})
+		}
+	}
+	for k := range h.Tasks {
+		// Repeated or late, a halt does no harm: it names the attempt.
+		if k.Stopping && k.Seen && !k.Told && len(msg.Orders) < tuning.OrdersPerMessage {
+			k.Told = true // if this is lost, the next report's answer has it
+			msg.Orders = append(msg.Orders, halt(k.Ref(), k.Try(), k.WindDown))
+		}
+	}
+	for k := range h.Tasks {
+		if k.Job.Cancelled && k.Sent && t.rt.Now()-k.Halted >= tuning.HaltEvery {
+			msg.Orders = t.halts(h, msg.Orders)
+			break
+		}
+	}
+	msg.Orders, h.ends = append(msg.Orders, h.ends...), nil
+	if len(msg.Orders) == 0 && !h.ask {
+		return
+	}
+	h.ask = false
+	if msg.Orders == nil {
+		msg.Orders = []Order{}
+	}
+	body, err := json.Marshal(msg)
+	if err != nil {
+		t.log.Error("orders do not encode", "err", err)
+		return
+	}
+	attempts := make([]uint64, len(carried))
+	for i, k := range carried {
+		k.Sent, k.Flying, k.Shift, k.Tick = true, true, h.Shift, h.Tick
+		attempts[i] = k.Attempt
+	}
+	h.flying = true
+	begun := t.begun
+	t.rt.Call(h.Addr, httpwire.Call{Method: "POST", Target: "/orders", Body: body}, tuning.OrderTimeout,
+		func(ans httpwire.Answer, err error) {
+			if t.begun != begun || t.office.Token() != token || t.hosts[h.ID] != h {
+				return // another term has read the records anew
+			}
+			h.flying = false
+			t.ready[h] = true
+			mine := func(fn func(*work.Task)) {
+				for i, k := range carried {
+					if h.Tasks[k] && k.Attempt == attempts[i] && k.Flying {
+						k.Flying = false
+						fn(k)
+					}
+				}
+			}
+			var r *Report
+			if err == nil && (ans.Status == 200 || ans.Status == 409) {
+				if r, err = ParseReport(ans.Body); err == nil && r.Host != h.ID {
+					r = nil
+				}
+			}
+			switch {
+			case err == engine.ErrNotSent || (err == nil && ans.Status == 409):
+				mine(func(k *work.Task) { k.Sent, k.Shift, k.Tick = k.Seen, 0, 0 })
+			case err == nil && ans.Status == 200 && r != nil:
+				mine(func(k *work.Task) { k.Shift, k.Tick = r.Shift, r.Tick })
+				if r.Shift == h.Shift && r.Tick > h.Tick && r.Token <= token {
+					t.read(h, r, false)
+				}
+			default:
+				mine(func(k *work.Task) { k.Doubt = !k.Seen })
+			}
+			if err != nil || ans.Status != 200 {
+				// Not again at once: the next report carries the launches.
+				delete(t.ready, h)
+			}
+			if err == engine.ErrNoAnswer {
+				h.missed = t.rt.Now()
+			}
+		})
+}
--- /dev/null
+++ b/internal/block/flush.go
@@ -0,0 +1,197 @@
+package block
+
+import (
+	"time"
+
+	"lemonmoor/internal/ledger"
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// later plans another flush.
+func (s *Shelf) later(d time.Duration) {
+	if s.planned {
+		return
+	}
+	s.planned = true
+	term := s.term
+	s.rt.After(max(d, time.Millisecond), func() {
+		if term == s.term {
+			s.planned = false
+			s.Flush()
+		}
+	})
+}
+
+// rate is this block's part of the write budget, in changes per second.
+func (s *Shelf) rate() float64 {
+	return s.set.Deployment.State.WriteRPS * tuning.WriteShare * s.led.Rate() / float64(s.set.Blocks())
+}
+
+// Flush commits changed tasks: at once if something waits for one, else after a
+// while. A commit takes what has gathered. It goes alone for a moment; if its
+// answer takes longer, others follow, since the order in which pages are written
+// does not matter.
+func (s *Shelf) Flush() {
+	if s.resting || s.flights >= tuning.CommitsAhead || !s.loaded || !s.office.Valid() || len(s.dirty) == 0 {
+		return
+	}
+	now := s.rt.Now()
+	if wait := s.began + tuning.CommitGap - now; s.flights > 0 && wait > 0 {
+		s.later(wait)
+		return
+	}
+	s.budget = min(max(1, s.rate()), s.budget+s.rate()*(now-s.filled).Seconds())
+	s.filled = now
+	if wait := s.since + tuning.DoneDelay - now; !s.urgent && wait > 0 {
+		s.later(wait)
+		return
+	}
+	if s.budget < 1 {
+		s.later(time.Duration((1 - s.budget) / s.rate() * float64(time.Second)))
+		return
+	}
+	s.commit(min(s.led.Ops(), int(s.budget), tuning.CommitBytes/s.pageBytes()))
+}
+
+// pageBytes is the most that a page of the log may hold.
+func (s *Shelf) pageBytes() int {
+	return min(tuning.PageBytes, s.led.ValueBytes())
+}
+
+// saved is a task as it was when its page was written.
+type saved struct {
+	task    *work.Task
+	state   work.State
+	attempt uint64
+	page    int
+}
+
+func (s *Shelf) commit(most int) {
+	tasks := s.dirty[:0:0]
+	take := func(t *work.Task) {
+		if s.chunks[t.Chunk.Key] == t.Chunk {
+			tasks = append(tasks, t)
+		}
+	}
+	for _, t := range s.dirty {
+		take(t)
+	}
+	// What is still true of an old page moves on with the rest, so that the
+	// page can be written over and the log stays as long as the work is.
+	if s.flights == 0 {
+		for _, t := range s.pages.oldest() {
+			if !t.Dirty {
+				t.Dirty = true
+				take(t)
+			}
+		}
+	}
+	values, on, rest, err := work.Pack(tasks, s.pageBytes(), most)
+	if err != nil {
+		s.log.Error("log pages do not encode", "err", err)
+		return
+	}
+	s.dirty, s.urgent = append([]*work.Task(nil), rest...), s.urgent && len(rest) > 0
+	if len(values) == 0 {
+		return
+	}
+	var apply []ledger.Change
+	var written []saved
+	guards := []ledger.Guard{{Key: ledger.BlockKey(s.block), Stamp: s.token}}
+	free := s.pages.free(len(values))
+	for i, value := range values {
+		// A commit that is carried out once more, later, must not bring back
+		// what the page told then.
+		guards = append(guards, ledger.Guard{Key: work.PageKey(s.block, free[i]), Stamp: s.pages.at(free[i]).stamp})
+		apply = append(apply, ledger.Change{Set: work.PageKey(s.block, free[i]), Value: value})
+		for _, t := range on[i] {
+			t.Dirty = false
+			written = append(written, saved{t, t.State, t.Attempt, free[i]})
+		}
+	}
+	undo := func() {
+		for _, w := range written {
+			s.Changed(w.task, true)
+		}
+	}
+	term := s.term
+	s.seq++
+	seq := s.seq
+	s.flights++
+	s.began = s.rt.Now()
+	s.budget -= float64(len(apply))
+	s.led.CommitWithin(guards, apply, s.led.Patience(), func(r ledger.Result) {
+		if term != s.term {
+			return
+		}
+		switch r.Outcome {
+		case ledger.OK:
+			s.flights--
+			s.pages.written(free, r.Epoch)
+		case ledger.Refused, ledger.Invalid:
+			s.flights--
+			s.pages.written(free, 0)
+		}
+		switch r.Outcome {
+		case ledger.OK:
+			s.tries = 0
+			for _, w := range written {
+				t := w.task
+				if s.chunks[t.Chunk.Key] != t.Chunk {
+					continue
+				}
+				if w.state == work.Placed && t.State == work.Placed && t.Attempt == w.attempt && !t.Durable {
+					t.Durable = true
+					s.Launchable(t)
+				}
+				if seq < t.Logged {
+					continue // a later commit's answer was faster; its word is newer
+				}
+				t.Logged = seq
+				s.pages.take(t.Page)
+				t.Page = w.page
+				s.pages.put(t.Page, t)
+				if w.state == work.Done {
+					t.DoneDurable = true
+				}
+			}
+			s.Flush()
+		case ledger.Refused, ledger.Invalid:
+			// Surely not carried out: the same again, a little later; in smaller
+			// pages or commits if it was found too large.
+			s.tries++
+			s.resting = true
+			s.rt.After(s.led.Backoff(s.tries-1), func() {
+				if term == s.term {
+					s.resting = false
+					undo()
+					s.Flush()
+				}
+			})
+		case ledger.Conflict:
+			// The block is another's, or this node's under a newer token.
+			s.office.Verify(func() {
+				if term == s.term {
+					s.log.Warn("guards failed, renewing the token", "block", s.block, "keys", r.Failed)
+					s.renew(term)
+				}
+			})
+		default:
+			// It may be carried out late. Under a new token its guard fails;
+			// then the records are read anew.
+			s.log.Info("commit without answer, renewing the token", "block", s.block)
+			s.renew(term)
+		}
+	})
+}
+
+// renew asks for a new token until there is one. Until then nothing is
+// committed, so nothing is launched.
+func (s *Shelf) renew(term int) {
+	if term != s.term {
+		return
+	}
+	s.office.Renew(s.block)
+	s.rt.After(tuning.StateBackoffMax, func() { s.renew(term) })
+}
--- /dev/null
+++ b/internal/fleet/capacity.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"time"
+
+	"lemonmoor/internal/jobs"
+)
+
+// bootTime is how long a machine of a type should take to boot.
+func bootTime(t *jobs.MachineType) time.Duration {
+	return time.Duration(t.BootS * float64(time.Second))
+}
+
+// capacity is the machines of a kind, up or booting.
+type capacity struct {
+	cpus    float64 // of all of them
+	used    Load    // what their tasks take
+	booting []bootingCPUs
+}
+
+// bootingCPUs is processors that come up after a while, in seconds.
+type bootingCPUs struct{ cpus, ready float64 }
+
+// work is what the machines can do of a need's work within so many seconds, in seconds
+// of a processor. What runs there of its priority and above takes half of a task on the
+// average until it ends; machines that boot fetch its image, and have their first tasks
+// already.
+func (c *capacity) work(n *Need, fetch, within float64) float64 {
+	up := c.cpus
+	sum := 0.0
+	for _, b := range c.booting {
+		up -= b.cpus
+		sum += b.cpus * max(0, within-b.ready-fetch-n.Desc.EstimateS)
+	}
+	below := c.used.Below(n.Desc.Priority())
+	busy := c.used.CPUs - below
+	return sum + max(0, up-below)*within - busy*min(within, n.Desc.EstimateS/2)
+}
+
+// servable is the work that can be done of a need's priority until it has waited for so
+// many seconds, on the machines that could run it, up or booting.
+func (f *Fleet) servable(n *Need, have capacities, within float64) float64 {
+	sum := 0.0
+	for kind, c := range have {
+		if room := f.empty(kind); room.Type != nil && room.Could(n.Desc, n.Zone) {
+			sum += max(0, c.work(n, f.ready(n, room.Type)-room.Type.BootS, within))
+		}
+	}
+	return sum
+}
+
+// add counts a machine, or several that boot together.
+func (c *capacity) add(cpus float64, booting bool, ready time.Duration) {
+	c.cpus += cpus
+	if booting {
+		c.booting = append(c.booting, bootingCPUs{cpus, ready.Seconds()})
+	}
+}
+
+// capacities is the machines by kind.
+type capacities map[Kind]*capacity
+
+// at is the entry of a kind, made when it is first asked for.
+func (c capacities) at(kind Kind) *capacity {
+	if c[kind] == nil {
+		c[kind] = &capacity{}
+	}
+	return c[kind]
+}
+
+// capacities sums up the machines by kind.
+func (f *Fleet) capacities() capacities {
+	sums := capacities{}
+	f.Rooms(func(r *Room) {
+		c := sums.at(r.Kind)
+		c.add(r.Type.CPUs, r.Booting, r.Ready)
+		load := f.LoadOf(r.Host)
+		c.used.CPUs += load.CPUs
+		for priority, cpus := range load.ByPriority {
+			c.used.ByPriority[priority] += cpus
+		}
+	})
+	return sums
+}
+
+// available is the processors that a need can count on: those of the machines that
+// could run it, without what runs work of lower priority there, which does not come
+// free at the pace of this work. Lower work on other machines does not count: taken
+// off all the same, it left less than nothing for services that may use ordinary
+// machines only, and a hundred of these were rented for a single replica.
+func (f *Fleet) available(n *Need, have capacities) float64 {
+	sum := 0.0
+	for kind, c := range have {
+		if room := f.empty(kind); room.Type != nil && room.Could(n.Desc, n.Zone) {
+			sum += max(0, c.cpus-c.used.Below(n.Desc.Priority()))
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/fleet/digest.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"time"
+
+	"lemonmoor/internal/tuning"
+)
+
+// word is the newest that a block's owner has told.
+type word struct {
+	token, seq uint64
+	heard      time.Duration
+	since      time.Duration // when this owner was first heard, without a gap
+	any        bool
+}
+
+// HostState is what a block's owner tells of a machine.
+type HostState struct {
+	ID     string `json:"id"`
+	Addr   string `json:"addr"`
+	Build  string `json:"build"`
+	Zone   string `json:"zone"`
+	Spot   bool   `json:"spot"`
+	Up     bool   `json:"up"`   // its worker has reported
+	Open   bool   `json:"open"` // takes tasks
+	IdleMS int64  `json:"idleMs,omitempty"`
+	Busy   bool   `json:"busy,omitempty"` // has, or may have, tasks
+	Back   string `json:"back,omitempty"` // why it should be returned now
+}
+
+// Digest is an owner's word on its block: all machines, or those of which
+// something has changed since the word before.
+type Digest struct {
+	Node  string      `json:"node"`
+	Block int         `json:"block"`
+	Token uint64      `json:"token"`
+	Seq   uint64      `json:"seq"`
+	Full  bool        `json:"full,omitempty"`
+	Lit   []string    `json:"lit,omitempty"` // zones that it has heard from just now
+	Hosts []HostState `json:"hosts"`
+}
+
+// Recall asks an owner to give waiting tasks of a job back.
+type Recall struct {
+	Job    string `json:"job"`
+	Number int    `json:"number"`
+}
+
+// Address is where a machine's worker takes orders.
+type Address struct {
+	ID   string `json:"id"`
+	Addr string `json:"addr"`
+}
+
+// Reply is the leader's answer to a digest.
+type Reply struct {
+	Full  bool     `json:"full,omitempty"` // a word is missing: tell all
+	Drain []string `json:"drain,omitempty"`
+	// Machines are those that the owner has not heard of, to a full word.
+	Machines []Address `json:"machines,omitempty"`
+	Returned []string  `json:"returned,omitempty"` // gone, with all on them
+	Recall   []Recall  `json:"recall,omitempty"`
+}
+
+// fresh tells whether the owner's word on a machine is new enough. Words come
+// every second, whatever the workers' pace.
+func (f *Fleet) fresh(m *machine) bool {
+	w := &f.words[m.block]
+	return m.known && w.any && f.rt.Now()-w.heard < tuning.DigestStale
+}
+
+// Hear takes an owner's digest. Machines in it that were not rented in this
+// term are adopted.
+func (f *Fleet) Hear(d *Digest) Reply {
+	var r Reply
+	now := f.rt.Now()
+	w := &f.words[d.Block]
+	if w.any && (d.Token < w.token || (d.Token == w.token && d.Seq <= w.seq)) {
+		// Held back on its way. A machine in it, returned long ago, counted as
+		// room for ever: nothing was rented for tasks that waited for it.
+		return r
+	}
+	if !d.Full && (!w.any || w.token != d.Token || d.Seq != w.seq+1) {
+		r.Full = true // what it tells is true, but something is missing
+	} else {
+		since := w.since
+		if !w.any || w.token != d.Token || now-w.heard > tuning.DigestStale {
+			since = now
+		}
+		*w = word{d.Token, d.Seq, now, since, true}
+	}
+	for _, zone := range d.Lit {
+		f.lit[zone] = now
+	}
+	// A word whose answer is lost is followed by a full one, which asks for
+	// these anew.
+	r.Returned, f.news[d.Block] = f.news[d.Block], nil
+	var there map[string]bool
+	if d.Full {
+		there = make(map[string]bool, len(d.Hosts))
+	}
+	for _, s := range d.Hosts {
+		if there != nil {
+			there[s.ID] = s.Up
+		}
+		if _, gone := f.returned[s.ID]; gone {
+			r.Returned = append(r.Returned, s.ID)
+			continue
+		}
+		m := f.machines[s.ID]
+		if m == nil {
+			if !s.Up {
+				continue // known from a record only
+			}
+			m = &machine{id: s.ID, rented: now, block: d.Block}
+			f.machines[s.ID] = m
+		}
+		if s.Up {
+			m.addr, m.kind = s.Addr, Kind{s.Build, s.Zone, s.Spot}
+		}
+		// A new owner knows some machines from their records only, until
+		// they report to it: that makes none of them one that never booted.
+		m.state, m.known = s, m.known || s.Up
+		m.idle = now - time.Duration(s.IdleMS)*time.Millisecond
+		if s.Back != "" && !m.silent() { // judge sees to those
+			f.giveBack(m, s.Back)
+		}
+	}
+	if d.Full && !f.listed {
+		r.Full = true // tell all once more, when the machines are known
+	}
+	for id, m := range f.machines {
+		switch {
+		case m.block != d.Block:
+		case there != nil && !there[id]:
+			m.state.Open = false // it has not reported to this owner yet
+			if m.addr != "" && !m.release && !m.booting {
+				r.Machines = append(r.Machines, Address{id, m.addr})
+			}
+		case m.drain != "" && m.known && m.state.Open:
+			r.Drain = append(r.Drain, id)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/fleet/rent.go
@@ -0,0 +1,295 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// hire is a rental request; its name is used for this request alone.
+type hire struct {
+	Name   string `json:"hire"`
+	Build  string `json:"build"`
+	Zone   string `json:"yard"`
+	Spot   bool   `json:"loaners"`
+	Number int    `json:"number"`
+}
+
+func (h hire) kind() Kind { return Kind{h.Build, h.Zone, h.Spot} }
+
+// rent asks for machines for the tasks that have no room. Each need waits
+// behind those before it; machines are rented while that wait, at the pace of
+// the machines that could do the work, is longer than the users' aims leave.
+func (f *Fleet) rent(term int) {
+	if f.types == nil || f.rt.Now()-f.begun < tuning.DigestEvery*2 {
+		return
+	}
+	have := f.capacities()
+	behind := map[string]float64{} // by team, as queued
+	for i := range f.needs {
+		n := &f.needs[i]
+		behind[n.Desc.Team] += float64(n.Behind) * n.Desc.CPUs * max(n.Desc.EstimateS, 1)
+	}
+	// First all that is wanted, then the calls: a call for each need was small,
+	// and calls are few.
+	var order []Kind
+	wanted := map[Kind]int{}
+	var before float64 // seconds of one processor, of the needs so far
+	var coming []Room  // machines wanted for gangs in this look, with what is left of them
+	for i := range f.needs {
+		n := &f.needs[i]
+		if n.Desc.Gang() && n.Number > 0 {
+			if k, number := f.forGang(n, wanted, &coming); number > 0 {
+				if wanted[k] == 0 {
+					order = append(order, k)
+				}
+				have.at(k).add(float64(number)*f.Type(k.Build).CPUs, true, bootTime(f.Type(k.Build)))
+				wanted[k] += number
+			}
+			continue
+		}
+		before += float64(n.Number) * n.Desc.CPUs * max(n.Desc.EstimateS, 1)
+		queued := before + behind[n.Desc.Team]
+		for n.Number > 0 {
+			k, number := f.choose(n, queued, have, f.needs[i:], wanted)
+			if number == 0 {
+				break
+			}
+			if wanted[k] == 0 {
+				order = append(order, k)
+			}
+			have.at(k).add(float64(number)*f.Type(k.Build).CPUs, true, bootTime(f.Type(k.Build)))
+			wanted[k] += number
+		}
+	}
+	for _, k := range order {
+		for left := wanted[k]; left > 0; left -= tuning.HireMax {
+			if !f.afford() {
+				return
+			}
+			f.counter++
+			f.hire(term, hire{fmt.Sprintf("r-%d-%d", f.office.Lead(), f.counter), k.Build, k.Zone, k.Spot, min(left, tuning.HireMax)}, 0)
+		}
+	}
+}
+
+// choose finds the kind of machine that does the waiting work at the least
+// price, and how many of it are wanted; none if the work can wait. queued is
+// the work up to this need, have the machines that there are or will be.
+func (f *Fleet) choose(n *Need, queued float64, have capacities, needs []Need, wanted map[Kind]int) (best Kind, number int) {
+	now := f.rt.Now()
+	cpus := f.available(n, have)
+	bestCost, bestWait := math.Inf(1), 0.0
+	for i := range f.types {
+		t := &f.types[i]
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				k := Kind{t.Label, zone, spot}
+				if now < f.pauses[k] || f.dark(zone) || wanted[k] >= tuning.HireAhead || !f.empty(k).Could(n.Desc, n.Zone) {
+					continue
+				}
+				price, wait := t.Price, f.wait(n, t, tuning.MissedPatience)
+				if spot {
+					price, wait = t.SpotPrice, f.wait(n, t, tuning.PatienceMost)
+				}
+				if cpus > 0 && (queued/cpus <= wait || !spot && f.inTime(n, t, queued, have)) {
+					continue
+				}
+				// Large machines are all that large tasks have; at about the
+				// same price small tasks go to small ones.
+				cost := price / max(n.Desc.CPUs*math.Floor(t.CPUs/n.cpus(t)+slack), 1e-3) * (1 + tuning.LargeDear*math.Log2(max(1, t.CPUs)))
+				if cost < bestCost {
+					best, bestCost, bestWait = k, cost, wait
+				}
+			}
+		}
+	}
+	if math.IsInf(bestCost, 1) {
+		return best, 0
+	}
+	t := f.Type(best.Build)
+	number = int(math.Ceil((queued/bestWait - cpus) / t.CPUs))
+	// No more than the tasks from here on fill.
+	fill := 0.0
+	for i := range needs {
+		if m := &needs[i]; f.empty(best).Could(m.Desc, m.Zone) {
+			fill += float64(m.Number) * m.cpus(t)
+		}
+	}
+	return best, max(1, min(number, int(math.Ceil(fill/t.CPUs)), tuning.HireAhead-wanted[best]))
+}
+
+// inTime tells whether the machines that there are, up or booting, do the work up to a
+// need before the next of its aims that a new machine of a type could still meet. Dear
+// machines are rented only if they do not.
+func (f *Fleet) inTime(n *Need, t *jobs.MachineType, queued float64, have capacities) bool {
+	patience := n.patience(f.ready(n, t), tuning.MissedPatience.Seconds())
+	return queued <= tuning.DearQueue*f.servable(n, have, patience)
+}
+
+// forGang finds the kind of machine, and how many, that hold all tasks of a gang
+// at the least price; none if machines that are wanted already have the room. It
+// cannot wait for room to come free bit by bit.
+func (f *Fleet) forGang(n *Need, wanted map[Kind]int, coming *[]Room) (best Kind, number int) {
+	left := n.Number
+	var filled []int // tasks on each of those that are coming
+	for i := range *coming {
+		k := 0
+		if r := &(*coming)[i]; left > 0 && f.empty(r.Kind).Could(n.Desc, n.Zone) {
+			k = min(left, tasksOn(r.Type, n.Desc))
+		}
+		filled = append(filled, k)
+		left -= k
+	}
+	take := func(r *Room, k int) {
+		r.Type.CPUs -= float64(k) * n.Desc.CPUs
+		r.Type.Cards -= float64(k) * n.Desc.Cards
+		r.Type.MemoryGB -= float64(k) * n.Desc.MemoryGB
+	}
+	if left <= 0 {
+		for i, k := range filled {
+			take(&(*coming)[i], k)
+		}
+		return best, 0
+	}
+	now, bestCost := f.rt.Now(), math.Inf(1)
+	for i := range f.types {
+		t := &f.types[i]
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				k, each := Kind{t.Label, zone, spot}, tasksOn(t, n.Desc)
+				if now < f.pauses[k] || f.dark(zone) || each == 0 || !f.empty(k).Could(n.Desc, n.Zone) {
+					continue
+				}
+				// Machines belong to blocks by their names, in turn, and a gang
+				// stays in one block if it can.
+				want := (n.Number + each - 1) / each
+				if want > 1 {
+					want *= len(f.words)
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				if cost := price * float64(want) * (1 + tuning.GangFew*float64(want-1)); cost < bestCost && wanted[k]+want <= tuning.HireAhead {
+					best, number, bestCost = k, want, cost
+				}
+			}
+		}
+	}
+	left = n.Number
+	for range number {
+		t := *f.Type(best.Build)
+		r := Room{Kind: best, Type: &t}
+		k := min(left, tasksOn(&t, n.Desc))
+		take(&r, k)
+		left -= k
+		*coming = append(*coming, r)
+	}
+	return best, number
+}
+
+// tasksOn tells how many tasks of a job fit on a machine.
+func tasksOn(t *jobs.MachineType, d *jobs.Description) int {
+	n := math.MaxInt32
+	for _, x := range [...]struct{ need, left float64 }{{d.CPUs, t.CPUs}, {d.Cards, t.Cards}, {d.MemoryGB, t.MemoryGB}} {
+		if x.need > 0 {
+			n = min(n, int(math.Floor((x.left+slack)/x.need)))
+		}
+	}
+	return max(n, 0)
+}
+
+// Rentable tells whether machines for a job can be had in a zone now, as far as
+// is known.
+func (f *Fleet) Rentable(d *jobs.Description, zone string) bool {
+	for i := range f.types {
+		t := &f.types[i]
+		for _, spot := range []bool{true, false} {
+			k := Kind{t.Label, zone, spot}
+			if slices.Contains(t.Zones, zone) && f.rt.Now() >= f.pauses[k] && !f.dark(zone) && f.empty(k).Could(d, zone) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// ready is how many seconds it takes until a new machine of a type can run a need: its
+// boot and the fetch of the image.
+func (f *Fleet) ready(n *Need, t *jobs.MachineType) float64 {
+	if t.PullRate > 0 {
+		return t.BootS + n.Desc.ImageGB/t.PullRate
+	}
+	return t.BootS
+}
+
+// wait is how many seconds a queue may take before a machine of a type is worth its
+// boot for a need; most bounds the patience of one that has no aim left.
+func (f *Fleet) wait(n *Need, t *jobs.MachineType, most time.Duration) float64 {
+	ready := f.ready(n, t)
+	return max(tuning.RentBacklog*t.BootS, tuning.PatienceShare*(n.patience(ready, most.Seconds())-ready))
+}
+
+// empty is a machine of a kind with nothing on it.
+func (f *Fleet) empty(k Kind) *Room { return &Room{Kind: k, Type: f.Type(k.Build)} }
+
+// hire sends a rental request until its answer is known; repeated, it rents
+// nothing more.
+func (f *Fleet) hire(term int, h hire, try int) {
+	body, err := json.Marshal(h)
+	if err != nil {
+		return
+	}
+	f.flying[h.Name] = h
+	f.rt.Call(f.addr, httpwire.Call{Method: "POST", Target: "/rentals", Body: body}, tuning.CloudTimeout,
+		func(ans httpwire.Answer, err error) {
+			if term != f.term {
+				return // machines it brings turn up in reports and in the list
+			}
+			delete(f.flying, h.Name)
+			k := h.kind()
+			var reply struct {
+				Hosts []string `json:"hosts"`
+				Error string   `json:"error"`
+			}
+			if err == nil {
+				_ = json.Unmarshal(ans.Body, &reply)
+			}
+			switch {
+			case err == nil && ans.Status == 200:
+				for _, id := range reply.Hosts {
+					if f.machines[id] == nil {
+						f.machines[id] = &machine{id: id, kind: k, rented: f.rt.Now(), block: work.BlockOf(id, len(f.words))}
+					}
+				}
+				if len(reply.Hosts) < h.Number {
+					f.pauses[k] = f.rt.Now() + tuning.CapacityPause
+				}
+				f.log.Info("rented", "build", h.Build, "zone", h.Zone, "spot", h.Spot, "wanted", strconv.Itoa(h.Number), "got", len(reply.Hosts))
+			case err == nil && ans.Status == 503 && reply.Error == "no capacity":
+				f.pauses[k] = f.rt.Now() + tuning.CapacityPause
+				f.log.Debug("no capacity", "build", h.Build, "zone", h.Zone, "spot", h.Spot)
+			case err == nil && ans.Status == 400:
+				f.pauses[k] = f.rt.Now() + 5*tuning.CapacityPause
+				f.log.Warn("rental refused as malformed", "body", string(ans.Body))
+			default:
+				f.flying[h.Name] = h
+				pause := min(time.Second<<min(try, 3), 8*time.Second)
+				f.rt.After(time.Duration(float64(pause)*(0.5+f.rt.Rand())), func() {
+					if term != f.term {
+						return
+					}
+					f.hire(term, h, try+1)
+				})
+			}
+		})
+}
--- /dev/null
+++ b/internal/fleet/returns.go
@@ -0,0 +1,171 @@
+package fleet
+
+import (
+	"encoding/json"
+	"time"
+
+	"lemonmoor/internal/agents"
+	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// unheard tells whether a machine that the lists call running has not reported
+// to its owner, which has been there for long enough. One that died before its
+// first report, or while the controllers were down, counted as booting for ever,
+// and nothing was rented in its place.
+func (f *Fleet) unheard(m *machine) bool {
+	w, now := &f.words[m.block], f.rt.Now()
+	return !m.known && m.running > 0 && w.any && now-w.heard < tuning.DigestStale &&
+		now-max(w.since, m.running, f.since) > f.set.DeadAfter()
+}
+
+// silent tells whether a machine's owner wants it back because it is silent.
+func (m *machine) silent() bool {
+	return m.state.Back == agents.Silent || m.state.Back == agents.SilentUrgent
+}
+
+func (f *Fleet) giveBack(m *machine, why string) {
+	if m.release {
+		return
+	}
+	m.release, m.why = true, why
+	f.log.Info("returning machine", "host", m.id, "why", why)
+}
+
+// judge decides which machines go back beside those that their owners give
+// back.
+func (f *Fleet) judge() {
+	now := f.rt.Now()
+	machines, idle := 0, 0
+	clear(f.running)
+	for _, m := range f.machines {
+		if !m.release && !m.failed && (m.known || m.running > 0) {
+			f.running[m.kind.Zone]++
+		}
+		if m.known && !m.release {
+			machines++
+			if m.idles(f) {
+				idle++
+			}
+		}
+	}
+	for zone := range f.running {
+		if f.dark(zone) {
+			if _, was := f.darkAt[zone]; !was || now-f.darkAt[zone] > f.set.DeadAfter() {
+				f.log.Info("zone is cut off", "zone", zone, "machines", f.running[zone])
+			}
+			f.darkAt[zone] = now
+		}
+	}
+	spare := max(tuning.SpareLeast, int(tuning.Spare*float64(machines)))
+	for _, m := range f.machines {
+		if m.release {
+			continue
+		}
+		if !m.known {
+			boot := 60.0
+			if t := f.Type(m.kind.Build); t != nil {
+				boot = t.BootS
+			}
+			limit := time.Duration(boot*tuning.BootFactor*float64(time.Second)) + tuning.BootSlack
+			switch {
+			case f.unheard(m) && !f.spared(m):
+				f.giveBack(m, "does not report")
+			case m.booting && now-m.rented > limit && now-f.begun > tuning.BootSlack:
+				f.giveBack(m, "never booted")
+			case !m.listed && f.listed && now-max(m.rented, f.begun) > limit+2*f.set.ListLag()+tuning.BootSlack:
+				// Taken by the cloud before any list had it: it counted as booting,
+				// and so as room, for ever.
+				f.giveBack(m, "never listed")
+			}
+			continue
+		}
+		if m.silent() && !f.spared(m) {
+			f.giveBack(m, m.state.Back)
+		}
+		keep := f.set.IdleKeep()
+		if t := f.Type(m.kind.Build); t != nil && !m.kind.Spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
+			// Kept ready as long as a spot machine would be for the money.
+			keep = time.Duration(float64(keep) * max(t.SpotPrice/t.Price, tuning.IdleLeast))
+		}
+		if idle > spare {
+			// After a burst most are idle at once: so many are not soon needed.
+			keep = min(keep, time.Duration(float64(f.set.IdleKeep())*tuning.IdleLeast))
+		}
+		// Idle in an outage, when nothing could be handed out, says nothing of
+		// what is needed: most machines went back just when it was over.
+		if m.idles(f) && now-max(m.idle, f.since) > keep && !(f.stalled > 0 && now-f.stalled < tuning.StallKeep) && !(f.awaited(m) && now-m.idle < tuning.GangKeep) {
+			m.drain = "idle" // its owner agrees, then gives it back
+			idle--
+		}
+	}
+	for id, at := range f.returned {
+		if now-at > tuning.ForgetReturned {
+			delete(f.returned, id)
+		}
+	}
+}
+
+// awaited tells whether a gang waits for machines of which this is one: it needs
+// several at a time, and they may come one by one.
+func (f *Fleet) awaited(m *machine) bool {
+	for i := range f.needs {
+		n := &f.needs[i]
+		if r := f.empty(m.kind); n.Desc.Gang() && n.Number > 0 && r.Type != nil && r.Could(n.Desc, n.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
+// idles tells whether a machine takes tasks and has none.
+func (m *machine) idles(f *Fleet) bool {
+	return m.drain == "" && f.fresh(m) && m.state.Open && !m.state.Busy
+}
+
+// release returns machines to the cloud.
+func (f *Fleet) release(term int) {
+	var names []string
+	for _, m := range f.machines {
+		if !m.release || m.asked {
+			continue
+		}
+		names = append(names, m.id)
+		if len(names) == 100 {
+			break
+		}
+	}
+	if len(names) == 0 || !f.afford() {
+		return
+	}
+	for _, id := range names {
+		f.machines[id].asked = true
+	}
+	body, err := json.Marshal(map[string][]string{"hosts": names})
+	if err != nil {
+		return
+	}
+	f.rt.Call(f.addr, httpwire.Call{Method: "POST", Target: "/rentals/release", Body: body}, tuning.CloudTimeout,
+		func(ans httpwire.Answer, err error) {
+			ok := err == nil && ans.Status == 200
+			if ok {
+				// Whoever leads now: the machines are gone.
+				for _, id := range names {
+					f.returned[id] = f.rt.Now()
+					b := work.BlockOf(id, len(f.words))
+					f.news[b] = append(f.news[b], id)
+				}
+			}
+			if term != f.term {
+				return
+			}
+			for _, id := range names {
+				if ok {
+					delete(f.machines, id)
+				} else if m := f.machines[id]; m != nil {
+					m.asked = false
+				}
+			}
+		})
+}
--- /dev/null
+++ b/internal/fleet/types.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"lemonmoor/internal/httpwire"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/tuning"
+)
+
+// Start reads the machine types and keeps their prices current.
+func (f *Fleet) Start() { f.readTypes(0) }
+
+// Types are the machine types, nil while unknown.
+func (f *Fleet) Types() []jobs.MachineType { return f.types }
+
+// Type finds a machine type.
+func (f *Fleet) Type(label string) *jobs.MachineType {
+	for i := range f.types {
+		if f.types[i].Label == label {
+			return &f.types[i]
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) readTypes(try int) {
+	f.rt.Call(f.addr, httpwire.Call{Method: "GET", Target: "/machine_types"}, tuning.CloudTimeout,
+		func(ans httpwire.Answer, err error) {
+			var reply struct {
+				Builds []jobs.MachineType `json:"builds"`
+			}
+			if err == nil && ans.Status == 200 {
+				err = json.Unmarshal(ans.Body, &reply)
+			}
+			if err != nil || ans.Status != 200 || len(reply.Builds) == 0 {
+				f.log.Debug("machine types not read", "status", ans.Status, "err", err)
+				pause := min(time.Second<<min(try, 4), 10*time.Second)
+				f.rt.After(time.Duration(float64(pause)*(0.5+f.rt.Rand())), func() { f.readTypes(try + 1) })
+				return
+			}
+			// Prices move; the machines' properties stay, and other slices
+			// hold on to them.
+			for _, n := range reply.Builds {
+				if old := f.Type(n.Label); old != nil {
+					*old = n
+				} else {
+					f.types = append(slices.Clip(f.types), n)
+				}
+			}
+			f.rt.After(tuning.TypesEvery, func() { f.readTypes(0) })
+		})
+}
+
+// Zones fixes zones for a job whose tasks must or must not share one.
+func (f *Fleet) Zones(d *jobs.Description) []string {
+	zones := f.AllZones(d)
+	if d.OneZone {
+		return zones[:min(1, len(zones))]
+	}
+	return zones[:min(2, len(zones))]
+}
+
+// AllZones lists the zones where a job may run, those with the most machines
+// first.
+func (f *Fleet) AllZones(d *jobs.Description) []string {
+	room := map[string]float64{}
+	for i := range f.types {
+		t := &f.types[i]
+		if !t.Runs(d) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if d.Zone == "" || d.Zone == z {
+				room[z] += 0.001 // any zone counts a little, one with machines more
+			}
+		}
+	}
+	f.Rooms(func(r *Room) {
+		if r.Could(d, "") {
+			room[r.Zone] += r.Type.CPUs
+		}
+	})
+	zones := make([]string, 0, len(room))
+	for z := range room {
+		zones = append(zones, z)
+	}
+	slices.SortFunc(zones, func(a, b string) int {
+		switch {
+		case room[a] > room[b]:
+			return -1
+		case room[a] < room[b]:
+			return 1
+		case a < b:
+			return -1
+		}
+		return 1
+	})
+	return zones
+}
--- /dev/null
+++ b/internal/lead/ends.go
@@ -0,0 +1,182 @@
+package lead
+
+import (
+	"encoding/json"
+	"strings"
+
+	"lemonmoor/internal/intake"
+	"lemonmoor/internal/ledger"
+	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/work"
+)
+
+// over queues a job's end once nothing of it is left to run.
+func (l *Leader) over(p *plan) {
+	if p.ending {
+		return
+	}
+	if p.cancelled {
+		// Its owner has to write every task off before the record may go: a
+		// placement that is on its way to the state service would be lost.
+		if p.open > 0 {
+			return
+		}
+	} else if p.desc.Service() || p.done < p.desc.Tasks || p.open > 0 {
+		return
+	}
+	p.ending = true
+	l.ends = append(l.ends, p)
+}
+
+// end writes the ends of jobs, several in a commit.
+func (l *Leader) end() bool {
+	var guards []ledger.Guard
+	var apply []ledger.Change
+	var ended []*plan
+	most := l.led.Ops()
+	rest := l.ends[:0:0]
+	for n, p := range l.ends {
+		if l.plans[p.e.ID] != p {
+			continue
+		}
+		if len(apply) == most || (len(apply) > 0 && l.alone) {
+			rest = append(rest, l.ends[n:]...)
+			break
+		}
+		g, a := l.finish(p, most-len(apply))
+		if len(a) == 0 {
+			continue
+		}
+		guards, apply, ended = append(guards, g...), append(apply, a...), append(ended, p)
+	}
+	l.ends = rest
+	if len(apply) == 0 {
+		return false
+	}
+	l.commit(guards, apply, func(r ledger.Result) {
+		l.alone = r.Outcome == ledger.Conflict
+		for _, p := range ended {
+			p.ending = false
+		}
+		switch r.Outcome {
+		case ledger.OK:
+			for _, a := range apply {
+				if id, ok := strings.CutPrefix(a.Set, intake.Prefix); ok {
+					l.cat.Learn(id, a.Value, r.Epoch)
+				}
+			}
+			for _, p := range ended {
+				l.log.Debug("job over", "job", p.e.ID, "class", p.desc.Class, "tasks", p.desc.Tasks, "cancelled", p.cancelled,
+					"age_s", float64(l.rt.Wall().UnixMilli()-p.e.At)/1000)
+				if l.plans[p.e.ID] == p && p.cancelled {
+					l.recheck(p)
+				}
+			}
+		case ledger.Refused:
+			l.later(0, func() {
+				for _, p := range ended {
+					l.over(p)
+				}
+			})
+		default:
+			// Cancelled in the meantime, or carried out unseen.
+			for _, p := range ended {
+				l.recheck(p)
+			}
+		}
+	})
+	return true
+}
+
+// recheck looks at a job again when the copies are proven to be current.
+func (l *Leader) recheck(p *plan) {
+	term := l.term
+	l.store.Check(func(error) {
+		l.cat.Check(func(error) {
+			if term == l.term && l.plans[p.e.ID] == p {
+				l.over(p)
+			}
+		})
+	})
+}
+
+// finish gives the changes that end a job. Of a job that is done it is the phase
+// that its user will be told; its records are removed when there is time for it:
+// in one commit with them the ends of a backlog took the changes of twenty
+// seconds, and nothing was handed out meanwhile. Of a cancelled one it is the
+// removal of its records, as many as a commit takes. The tasks of a job are
+// counted once more, each by its number: a job is never called done before all of
+// its tasks are.
+func (l *Leader) finish(p *plan, most int) (guards []ledger.Guard, apply []ledger.Change) {
+	id := p.e.ID
+	records := l.store.OfJob(id)
+	for _, v := range l.pending {
+		if v.Job == id {
+			p.ending = false // looked at again when the record shows up
+			return nil, nil
+		}
+	}
+	if !p.cancelled {
+		done := make(map[int]bool, p.desc.Tasks)
+		for _, r := range records {
+			for k, i := range r.Index {
+				if r.Marks[k].State == work.Done {
+					done[i] = true
+				}
+			}
+		}
+		e := l.cat.Get(id)
+		if len(done) != p.desc.Tasks || e == nil || e.Phase != "" {
+			p.ending = false
+			return nil, nil
+		}
+		value, err := json.Marshal(intake.Record{Phase: intake.Done, At: e.At, Tasks: p.desc.Tasks})
+		if err != nil {
+			l.log.Error("job record does not encode", "err", err)
+			return nil, nil
+		}
+		p.ending = true
+		return []ledger.Guard{{Key: intake.Prefix + id, Stamp: e.Stamp}}, []ledger.Change{{Set: intake.Prefix + id, Value: value}}
+	} else if len(records) == 0 {
+		l.forget(p)
+		return nil, nil
+	}
+	for key, r := range records {
+		if len(apply) == most {
+			break
+		}
+		guards = append(guards, ledger.Guard{Key: key, Stamp: r.Stamp})
+		apply = append(apply, ledger.Change{Remove: key})
+	}
+	p.ending = true
+	return guards, apply
+}
+
+// sweep removes records of jobs that are over, a part of the changes at a time.
+func (l *Leader) sweep() {
+	now := l.rt.Now()
+	if len(l.stale) == 0 || now-l.swept < tuning.SweepEvery {
+		return
+	}
+	l.swept = now
+	var apply []ledger.Change
+	state := &l.set.Deployment.State
+	most := min(l.led.Ops(), max(1, int(state.WriteRPS*l.led.Rate()*tuning.SweepShare*tuning.SweepEvery.Seconds())))
+	for len(l.stale) > 0 && len(apply) < most {
+		key := l.stale[0]
+		l.stale = l.stale[1:]
+		if l.store.Get(key) != nil {
+			apply = append(apply, ledger.Change{Remove: key})
+		}
+	}
+	if len(apply) == 0 {
+		return
+	}
+	l.commit(nil, apply, func(r ledger.Result) {
+		if r.Outcome != ledger.OK {
+			for _, c := range apply {
+				l.stale = append(l.stale, c.Remove)
+			}
+		}
+	})
+}
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -5,14 +5,11 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"log/slog"
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
-	"lemonmoor/internal/agents"
 	"lemonmoor/internal/engine"
 	"lemonmoor/internal/fleet"
 	"lemonmoor/internal/intake"
@@ -23,76 +20,6 @@
 	"lemonmoor/internal/work"
 )
 
-// plan is a job as the leader sees it.
-type plan struct {
-	e         *intake.Entry
-	desc      *jobs.Description
-	rank      jobs.Rank
-	cancelled bool
-	zones     []string
-	next      int            // first task never handed out
-	back      []int          // returned by a block and not handed out again
-	attempts  map[int]uint64 // last attempts of those
-	number    int            // of the next record
-	open      int            // handed out, neither done nor returned
-	placed    int            // of those, on machines
-	done      int
-	waiting   []int // of those, in the blocks' queues
-	ending    bool
-	starved   bool          // waits for its first task for too long
-	place     int           // in the order at the latest hand-out
-	torn      time.Duration // a gang: since when only a part of it has come back
-	handed    time.Duration // a gang: when it was last handed out
-}
-
-// left tells how many tasks are not handed out.
-func (p *plan) left() int { return len(p.back) + p.desc.Tasks - p.next }
-
-// nth is the task k places behind the next to hand out.
-func (p *plan) nth(k int) int {
-	if k < len(p.back) {
-		return p.back[k]
-	}
-	return p.next + k - len(p.back)
-}
-
-// first is the next task to hand out.
-func (p *plan) first() int {
-	if len(p.back) > 0 {
-		return p.back[0]
-	}
-	return p.next
-}
-
-// usage is what a team's open tasks take, and may take.
-type usage struct {
-	cpus, cards, cpusMax, cardsMax float64
-	urgent                         float64       // processors of those of urgent jobs
-	kept                           float64       // processors kept under the limit for urgent jobs
-	at                             time.Duration // when that was last looked at
-}
-
-// load is what the tasks placed on a machine take.
-type load struct {
-	tasks               int
-	cpus, cards, memory float64
-	movable             float64 // processors of those that any spot machine could have
-	byPriority          [jobs.Production + 1]float64
-}
-
-// movable tells whether a job's tasks can as well run on spot machines.
-func movable(d *jobs.Description) bool {
-	return d.Spot && !d.Service() && !d.Gang() && d.Builds == nil && d.Zone == "" && !d.OneZone && !d.Spread
-}
-
-// cache is what a machine caches, as far as this leader has seen tasks placed
-// there.
-type cache struct {
-	images agents.Cache
-	kind   *jobs.MachineType // nil until the machine is known
-	seen   time.Duration     // when it last was
-}
-
 // Leader hands out work while this process holds the lead.
 type Leader struct {
 	rt     engine.Runtime
@@ -268,72 +195,6 @@
 	l.order = slices.DeleteFunc(l.order, func(o *plan) bool { return o == p })
 }
 
-// count adds a record's tasks to the sums, or takes them off.
-func (l *Leader) count(p *plan, r *work.Record, sign int) {
-	for _, m := range r.Marks {
-		l.mark(p, r.Block, m, sign)
-	}
-}
-
-// mark adds a task to the sums, or takes it off.
-func (l *Leader) mark(p *plan, block int, m work.Mark, sign int) {
-	switch m.State {
-	case work.Returned:
-		return
-	case work.Done:
-		p.done += sign
-		return
-	}
-	s := float64(sign)
-	p.open += sign
-	if u := l.usage[p.desc.Team]; u != nil {
-		u.cpus += s * p.desc.CPUs
-		u.cards += s * p.desc.Cards
-		if p.desc.Priority() >= jobs.High {
-			u.urgent += s * p.desc.CPUs
-		}
-	}
-	if m.State != work.Placed {
-		if block < len(p.waiting) {
-			p.waiting[block] += sign
-		}
-		return
-	}
-	p.placed += sign
-	h := l.loads[m.Host]
-	if h == nil {
-		h = &load{}
-		l.loads[m.Host] = h
-	}
-	h.tasks += sign
-	h.cpus += s * p.desc.CPUs
-	h.byPriority[p.desc.Priority()] += s * p.desc.CPUs
-	if movable(p.desc) {
-		h.movable += s * p.desc.CPUs
-	}
-	h.cards += s * p.desc.Cards
-	h.memory += s * p.desc.MemoryGB
-	if h.tasks == 0 {
-		delete(l.loads, m.Host)
-	}
-	if sign > 0 {
-		of := l.images[p.desc.Image]
-		if of == nil {
-			of = make([]int, l.set.Blocks())
-			l.images[p.desc.Image] = of
-		}
-		if block < len(of) {
-			of[block]++
-		}
-		c := l.caches[m.Host]
-		if c == nil {
-			c = &cache{}
-			l.caches[m.Host] = c
-		}
-		c.images.Use(p.desc.Image, p.desc.ImageGB, c.kind)
-	}
-}
-
 // JobChanged takes note of a new or ended job.
 func (l *Leader) JobChanged(e *intake.Entry) {
 	if !l.loaded {
@@ -414,24 +275,6 @@
 	}
 }
 
-// over queues a job's end once nothing of it is left to run.
-func (l *Leader) over(p *plan) {
-	if p.ending {
-		return
-	}
-	if p.cancelled {
-		// Its owner has to write every task off before the record may go: a
-		// placement that is on its way to the state service would be lost.
-		if p.open > 0 {
-			return
-		}
-	} else if p.desc.Service() || p.done < p.desc.Tasks || p.open > 0 {
-		return
-	}
-	p.ending = true
-	l.ends = append(l.ends, p)
-}
-
 // Wake makes the next Settle look at everything again.
 func (l *Leader) Wake() { l.wanted = true }
 
@@ -503,167 +346,6 @@
 	})
 }
 
-// end writes the ends of jobs, several in a commit.
-func (l *Leader) end() bool {
-	var guards []ledger.Guard
-	var apply []ledger.Change
-	var ended []*plan
-	most := l.led.Ops()
-	rest := l.ends[:0:0]
-	for n, p := range l.ends {
-		if l.plans[p.e.ID] != p {
-			continue
-		}
-		if len(apply) == most || (len(apply) > 0 && l.alone) {
-			rest = append(rest, l.ends[n:]...)
-			break
-		}
-		g, a := l.finish(p, most-len(apply))
-		if len(a) == 0 {
-			continue
-		}
-		guards, apply, ended = append(guards, g...), append(apply, a...), append(ended, p)
-	}
-	l.ends = rest
-	if len(apply) == 0 {
-		return false
-	}
-	l.commit(guards, apply, func(r ledger.Result) {
-		l.alone = r.Outcome == ledger.Conflict
-		for _, p := range ended {
-			p.ending = false
-		}
-		switch r.Outcome {
-		case ledger.OK:
-			for _, a := range apply {
-				if id, ok := strings.CutPrefix(a.Set, intake.Prefix); ok {
-					l.cat.Learn(id, a.Value, r.Epoch)
-				}
-			}
-			for _, p := range ended {
-				l.log.Debug("job over", "job", p.e.ID, "class", p.desc.Class, "tasks", p.desc.Tasks, "cancelled", p.cancelled,
-					"age_s", float64(l.rt.Wall().UnixMilli()-p.e.At)/1000)
-				if l.plans[p.e.ID] == p && p.cancelled {
-					l.recheck(p)
-				}
-			}
-		case ledger.Refused:
-			l.later(0, func() {
-				for _, p := range ended {
-					l.over(p)
-				}
-			})
-		default:
-			// Cancelled in the meantime, or carried out unseen.
-			for _, p := range ended {
-				l.recheck(p)
-			}
-		}
-	})
-	return true
-}
-
-// recheck looks at a job again when the copies are proven to be current.
-func (l *Leader) recheck(p *plan) {
-	term := l.term
-	l.store.Check(func(error) {
-		l.cat.Check(func(error) {
-			if term == l.term && l.plans[p.e.ID] == p {
-				l.over(p)
-			}
-		})
-	})
-}
-
-// finish gives the changes that end a job. Of a job that is done it is the phase
-// that its user will be told; its records are removed when there is time for it:
-// in one commit with them the ends of a backlog took the changes of twenty
-// seconds, and nothing was handed out meanwhile. Of a cancelled one it is the
-// removal of its records, as many as a commit takes. The tasks of a job are
-// counted once more, each by its number: a job is never called done before all of
-// its tasks are.
-func (l *Leader) finish(p *plan, most int) (guards []ledger.Guard, apply []ledger.Change) {
-	id := p.e.ID
-	records := l.store.OfJob(id)
-	for _, v := range l.pending {
-		if v.Job == id {
-			p.ending = false // looked at again when the record shows up
-			return nil, nil
-		}
-	}
-	if !p.cancelled {
-		done := make(map[int]bool, p.desc.Tasks)
-		for _, r := range records {
-			for k, i := range r.Index {
-				if r.Marks[k].State == work.Done {
-					done[i] = true
-				}
-			}
-		}
-		e := l.cat.Get(id)
-		if len(done) != p.desc.Tasks || e == nil || e.Phase != "" {
-			p.ending = false
-			return nil, nil
-		}
-		value, err := json.Marshal(intake.Record{Phase: intake.Done, At: e.At, Tasks: p.desc.Tasks})
-		if err != nil {
-			l.log.Error("job record does not encode", "err", err)
-			return nil, nil
-		}
-		p.ending = true
-		return []ledger.Guard{{Key: intake.Prefix + id, Stamp: e.Stamp}}, []ledger.Change{{Set: intake.Prefix + id, Value: value}}
-	} else if len(records) == 0 {
-		l.forget(p)
-		return nil, nil
-	}
-	for key, r := range records {
-		if len(apply) == most {
-			break
-		}
-		guards = append(guards, ledger.Guard{Key: key, Stamp: r.Stamp})
-		apply = append(apply, ledger.Change{Remove: key})
-	}
-	p.ending = true
-	return guards, apply
-}
-
-// sweep removes records of jobs that are over, a part of the changes at a time.
-func (l *Leader) sweep() {
-	now := l.rt.Now()
-	if len(l.stale) == 0 || now-l.swept < tuning.SweepEvery {
-		return
-	}
-	l.swept = now
-	var apply []ledger.Change
-	state := &l.set.Deployment.State
-	most := min(l.led.Ops(), max(1, int(state.WriteRPS*l.led.Rate()*tuning.SweepShare*tuning.SweepEvery.Seconds())))
-	for len(l.stale) > 0 && len(apply) < most {
-		key := l.stale[0]
-		l.stale = l.stale[1:]
-		if l.store.Get(key) != nil {
-			apply = append(apply, ledger.Change{Remove: key})
-		}
-	}
-	if len(apply) == 0 {
-		return
-	}
-	l.commit(nil, apply, func(r ledger.Result) {
-		if r.Outcome != ledger.OK {
-			for _, c := range apply {
-				l.stale = append(l.stale, c.Remove)
-			}
-		}
-	})
-}
-
-// before orders plans as the owners order jobs.
-func before(a, b *plan) bool {
-	if a.starved != b.starved {
-		return a.starved
-	}
-	return a.rank.Before(&b.rank)
-}
-
 // Recalls takes what a block is asked to give back.
 func (l *Leader) Recalls(block int) []fleet.Recall {
 	var list []fleet.Recall
--- /dev/null
+++ b/internal/lead/usage.go
@@ -0,0 +1,104 @@
+package lead
+
+import (
+	"time"
+
+	"lemonmoor/internal/agents"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/work"
+)
+
+// usage is what a team's open tasks take, and may take.
+type usage struct {
+	cpus, cards, cpusMax, cardsMax float64
+	urgent                         float64       // processors of those of urgent jobs
+	kept                           float64       // processors kept under the limit for urgent jobs
+	at                             time.Duration // when that was last looked at
+}
+
+// load is what the tasks placed on a machine take.
+type load struct {
+	tasks               int
+	cpus, cards, memory float64
+	movable             float64 // processors of those that any spot machine could have
+	byPriority          [jobs.Production + 1]float64
+}
+
+// movable tells whether a job's tasks can as well run on spot machines.
+func movable(d *jobs.Description) bool {
+	return d.Spot && !d.Service() && !d.Gang() && d.Builds == nil && d.Zone == "" && !d.OneZone && !d.Spread
+}
+
+// cache is what a machine caches, as far as this leader has seen tasks placed
+// there.
+type cache struct {
+	images agents.Cache
+	kind   *jobs.MachineType // nil until the machine is known
+	seen   time.Duration     // when it last was
+}
+
+// count adds a record's tasks to the sums, or takes them off.
+func (l *Leader) count(p *plan, r *work.Record, sign int) {
+	for _, m := range r.Marks {
+		l.mark(p, r.Block, m, sign)
+	}
+}
+
+// mark adds a task to the sums, or takes it off.
+func (l *Leader) mark(p *plan, block int, m work.Mark, sign int) {
+	switch m.State {
+	case work.Returned:
+		return
+	case work.Done:
+		p.done += sign
+		return
+	}
+	s := float64(sign)
+	p.open += sign
+	if u := l.usage[p.desc.Team]; u != nil {
+		u.cpus += s * p.desc.CPUs
+		u.cards += s * p.desc.Cards
+		if p.desc.Priority() >= jobs.High {
+			u.urgent += s * p.desc.CPUs
+		}
+	}
+	if m.State != work.Placed {
+		if block < len(p.waiting) {
+			p.waiting[block] += sign
+		}
+		return
+	}
+	p.placed += sign
+	h := l.loads[m.Host]
+	if h == nil {
+		h = &load{}
+		l.loads[m.Host] = h
+	}
+	h.tasks += sign
+	h.cpus += s * p.desc.CPUs
+	h.byPriority[p.desc.Priority()] += s * p.desc.CPUs
+	if movable(p.desc) {
+		h.movable += s * p.desc.CPUs
+	}
+	h.cards += s * p.desc.Cards
+	h.memory += s * p.desc.MemoryGB
+	if h.tasks == 0 {
+		delete(l.loads, m.Host)
+	}
+	if sign > 0 {
+		of := l.images[p.desc.Image]
+		if of == nil {
+			of = make([]int, l.set.Blocks())
+			l.images[p.desc.Image] = of
+		}
+		if block < len(of) {
+			of[block]++
+		}
+		c := l.caches[m.Host]
+		if c == nil {
+			c = &cache{}
+			l.caches[m.Host] = c
+		}
+		c.images.Use(p.desc.Image, p.desc.ImageGB, c.kind)
+	}
+}
