Replicas of a service go to different machines where that costs little

A replica goes to a machine that runs services, is as near (image cached, nothing fetched) as any with room, and has none of its job yet; else they are packed as before. So none starts later and no machine is rented or kept for it. Test with generated fleets: TestReplicasApart (fails without: one machine where two had room); TestServicesPacked.

--- /dev/null
+++ b/internal/placement/order_test.go
@@ -0,0 +1,117 @@
+package placement
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lemonmoor/internal/agents"
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/work"
+)
+
+// service makes a service whose replicas arrive.
+func (y *yard) service(id int, image string, cpus float64, replicas int) []*work.Task {
+	tasks := y.job(id, "urgent", image, cpus, replicas)
+	for _, t := range tasks {
+		t.Job.Desc.Shape = "daemon"
+		t.Job.Tasks[t.Index] = t
+	}
+	return tasks
+}
+
+// TestReplicasApart: replicas of a service go to different machines where that costs
+// little: never later than packed, never to a machine without services while one with
+// services has room, and never to one without the image while one that caches it has.
+func TestReplicasApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var types []*jobs.MachineType
+		for range rapid.IntRange(1, 8).Draw(t, "machines") {
+			types = append(types, rapid.SampledFrom([]*jobs.MachineType{small, large}).Draw(t, "type"))
+		}
+		y := newYard(types...)
+		serving, room := 0, 0 // machines with services that cache the image and have room; room there
+		for i, h := range y.hosts {
+			cached := rapid.Bool().Draw(t, "cached")
+			if cached {
+				h.Use("x", 1)
+			}
+			replicas := rapid.IntRange(0, int(h.Type.CPUs)).Draw(t, "replicas")
+			if replicas > 0 {
+				// They are there already, under another image.
+				for _, k := range y.service(100+i, "other", 1, replicas) {
+					y.Place(k, h)
+				}
+			}
+			if free := int(h.Type.CPUs) - replicas; cached && replicas > 0 && free > 0 {
+				serving++
+				room += free
+			}
+		}
+		y.arrivals = nil
+		replicas := y.service(1, "x", 1, rapid.IntRange(2, 6).Draw(t, "wanted"))
+		free := 0
+		for _, h := range y.hosts {
+			cpus, _, _ := h.Free()
+			free += int(cpus)
+		}
+		before := map[string]bool{} // machines that cached the image and had services
+		for _, h := range y.hosts {
+			before[h.ID] = h.Caches("x") && h.ServiceCPUs > 0
+		}
+		y.round()
+		placed, there := 0, map[string]int{}
+		for _, k := range replicas {
+			if k.State == work.Placed {
+				placed++
+				there[k.Host]++
+			}
+		}
+		if placed != min(len(replicas), free) {
+			t.Fatalf("%d of %d replicas placed, room for %d", placed, len(replicas), free)
+		}
+		apart, on := 0, 0
+		for id, n := range there {
+			if before[id] {
+				apart++
+				on += n
+			}
+		}
+		if want := min(serving, len(replicas)); apart != want {
+			t.Fatalf("replicas on %d machines with services and the image, %d of them had room", apart, want)
+		}
+		if want := min(room, len(replicas)); on != want {
+			t.Fatalf("%d replicas on machines with services and the image, which had room for %d", on, want)
+		}
+	})
+}
+
+// TestServicesPacked: replicas of many small services share few machines, and arrays
+// that are cached nowhere leave those to them while others have room.
+func TestServicesPacked(t *testing.T) {
+	dear, cheap := *small, *large
+	dear.Price, cheap.Price = 1, 4
+	y := newYard(&dear, &cheap, &cheap, &dear, &cheap)
+	for i := range 20 {
+		y.service(i, "x", 1, 1)
+		y.round()
+	}
+	serving := func() (list []*agents.Host) {
+		for _, h := range y.hosts {
+			if h.ServiceCPUs > 0 {
+				list = append(list, h)
+			}
+		}
+		return list
+	}
+	if list := serving(); len(list) != 1 || list[0].Type != &cheap {
+		t.Fatalf("20 replicas on %d machines, the first %s", len(list), list[0].Type.Label)
+	}
+	y.job(100, "standard", "y", 4, 10)
+	y.round()
+	for _, h := range serving() {
+		if h.CPUs > h.ServiceCPUs {
+			t.Errorf("%s has %.0f processors of arrays while others have room", h.ID, h.CPUs-h.ServiceCPUs)
+		}
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -421,19 +421,53 @@
 
 // spread starts as many of a job's tasks as there is room for.
 func (p *Planner) spread(tasks []*work.Task, r *round) []*work.Task {
-	image := tasks[0].Job.Desc.Image
-	for near := range 3 {
-		for _, h := range r.orderFor(tasks[0]) {
-			if nearness(h, image) != near || r.kept[h] > tasks[0].Job.Desc.Priority() {
-				continue
-			}
-			for len(tasks) > 0 && fits(tasks[0], h) {
-				p.Place(tasks[0], h)
-				tasks = tasks[1:]
-			}
-			if len(tasks) == 0 {
-				return nil
-			}
+	job := tasks[0].Job
+	// As it is now: a machine caches the image as soon as a task is placed there.
+	var nearest [3][]*agents.Host
+	for _, h := range r.orderFor(tasks[0]) {
+		if r.kept[h] <= job.Desc.Priority() {
+			near := nearness(h, job.Desc.Image)
+			nearest[near] = append(nearest[near], h)
+		}
+	}
+	for _, hosts := range nearest {
+		if len(tasks) > 0 && job.Desc.Service() {
+			tasks = p.apart(tasks, hosts)
+		}
+		tasks = p.fill(tasks, hosts)
+	}
+	return tasks
+}
+
+// apart starts one replica of a service on each of the machines that has none of its
+// replicas yet, so that the end of one machine does not take all of them. Only
+// machines that run replicas of services already are taken: no machine is kept, or
+// rented, for being apart.
+func (p *Planner) apart(tasks []*work.Task, hosts []*agents.Host) []*work.Task {
+	taken := map[string]bool{}
+	for _, t := range tasks[0].Job.Tasks {
+		if t.State == work.Placed {
+			taken[t.Host] = true
+		}
+	}
+	for _, h := range hosts {
+		if len(tasks) == 0 {
+			break
+		}
+		if h.ServiceCPUs > slack && !taken[h.ID] && fits(tasks[0], h) {
+			p.Place(tasks[0], h)
+			tasks = tasks[1:]
+		}
+	}
+	return tasks
+}
+
+// fill starts a job's tasks on the machines, one full after the other.
+func (p *Planner) fill(tasks []*work.Task, hosts []*agents.Host) []*work.Task {
+	for _, h := range hosts {
+		for len(tasks) > 0 && fits(tasks[0], h) {
+			p.Place(tasks[0], h)
+			tasks = tasks[1:]
 		}
 	}
 	return tasks
