Machines full of services are no room for another replica: it got none for ever

Cause, by reading the rentals: processors of replicas, which never come free, counted as room, so that a replica for which all machines are full of others rented nothing while it waited. Now they do not count, and lower tasks only until the replica has waited for half a boot. Excluded: arrays; their rentals are as before. Test: TestFullOfServices (without: none rented for one replica, and for one behind long lower tasks).

--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/tuning"
 )
 
 // bootTime is how long a machine of a type should take to boot.
@@ -76,6 +77,7 @@
 		c.add(r.Type.CPUs, r.Booting, r.Ready)
 		load := f.LoadOf(r.Host)
 		c.used.CPUs += load.CPUs
+		c.used.Services += load.Services
 		for priority, cpus := range load.ByPriority {
 			c.used.ByPriority[priority] += cpus
 		}
@@ -84,16 +86,31 @@
 }
 
 // available is the processors that a need can count on: those of the machines that
-// could run it, without what runs work of lower priority there, which does not come
-// free at the pace of this work. Lower work on other machines does not count: taken
-// off all the same, it left less than nothing for services that may use ordinary
-// machines only, and a hundred of these were rented for a single replica.
+// could run it, without what does not come free for it. Lower work on other machines
+// does not count: taken off all the same, it left less than nothing for services that
+// may use ordinary machines only, and a hundred of these were rented for a single
+// replica.
 func (f *Fleet) available(n *Need, have capacities) float64 {
 	sum := 0.0
 	for kind, c := range have {
 		if room := f.empty(kind); room.Type != nil && room.Could(n.Desc, n.Zone) {
-			sum += max(0, c.cpus-c.used.Below(n.Desc.Priority()))
+			sum += max(0, c.cpus-c.occupied(n, room.Type))
 		}
 	}
 	return sum
 }
+
+// occupied is the processors that do not come free for a need: those that run work of
+// lower priority, which end at a pace of their own, and replicas of services. Counted
+// as free, the latter kept any machine from being rented for a replica that found all
+// of them full of others. Lower tasks do make room for a replica, one by one; only when
+// it has waited for half a boot that is not counted on any more.
+func (c *capacity) occupied(n *Need, t *jobs.MachineType) float64 {
+	if !n.Desc.Service() {
+		return c.used.Below(n.Desc.Priority())
+	}
+	if n.Waited < tuning.RentBacklog*t.BootS {
+		return c.used.Services
+	}
+	return c.used.Services + c.used.Below(n.Desc.Priority())
+}
--- a/internal/fleet/exchange_test.go
+++ b/internal/fleet/exchange_test.go
@@ -235,3 +235,48 @@
 		}
 	}
 }
+
+// TestFullOfServices: a replica for which all machines are full of other replicas gets
+// a machine of its own at once; one that lower tasks keep out, when they have done so
+// for half a boot. It got none for ever: its queue was a second of one processor.
+func TestFullOfServices(t *testing.T) {
+	standard := &jobs.Description{Urgency: "standard"}
+	for name, c := range map[string]struct {
+		services, lower, waited float64
+		rented                  int
+	}{
+		"full of replicas": {32, 0, 0, 1}, "lower tasks end": {20, 12, 5, 0},
+		"lower tasks do not end": {20, 12, 20, 1}, "there is room": {20, 4, 20, 0},
+	} {
+		rt := &still{now: time.Hour}
+		set := &settings.Settings{}
+		set.Deployment.Cloud.RPS = 4
+		f := New(rt, "", leading{}, set, slog.New(slog.DiscardHandler))
+		f.types = []jobs.MachineType{{Label: "g8", CPUs: 32, MemoryGB: 128, Price: 2, SpotPrice: 0.6, BootS: 30, Zones: []string{"a"}}}
+		f.statuses[0] = statusHeard{token: 1, seq: 1, heard: rt.now, any: true}
+		for i := range 10 {
+			id := fmt.Sprintf("vm-%06d", i)
+			f.machines[id] = &machine{id: id, kind: Kind{"g8", "a", false}, listed: true, known: true, state: MachineStatus{ID: id, Up: true, Open: true, Busy: true}}
+		}
+		f.LoadOf = func(string) Load {
+			l := Load{CPUs: c.services + c.lower, Movable: c.lower, Services: c.services}
+			l.ByPriority[standard.Priority()] = c.lower
+			l.ByPriority[jobs.High] = c.services
+			return l
+		}
+		replica := &jobs.Description{CPUs: 1, MemoryGB: 2, Shape: "daemon", Urgency: "urgent"}
+		f.Want([]Need{{Desc: replica, Number: 1, Waited: c.waited}}, nil)
+		f.rent(f.term)
+		rented := 0
+		for _, call := range rt.calls {
+			var h hire
+			if err := json.Unmarshal(call.Body, &h); err != nil {
+				t.Fatal(err)
+			}
+			rented += h.Number
+		}
+		if rented != c.rented {
+			t.Errorf("%s: %d machines rented, not %d", name, rented, c.rented)
+		}
+	}
+}
--- a/internal/fleet/need.go
+++ b/internal/fleet/need.go
@@ -32,6 +32,8 @@
 	// Behind is tasks of the job that the team's limit holds back: they cannot
 	// use more machines now, but are part of the queue.
 	Behind int
+	// Waited is for how many seconds the job has been there.
+	Waited float64
 	// Aims is how many seconds they can still wait for each of the users' aims
 	// that is not missed yet, without the one for work within a guarantee.
 	Aims []float64
@@ -61,6 +63,8 @@
 	CPUs float64
 	// Movable is the processors of tasks that could run on any spot machine.
 	Movable float64
+	// Services is the processors of replicas of services, which do not come free.
+	Services float64
 	// ByPriority divides CPUs among the priorities of the tasks.
 	ByPriority [jobs.Production + 1]float64
 }
--- a/internal/fleet/rent.go
+++ b/internal/fleet/rent.go
@@ -100,7 +100,7 @@
 				if spot {
 					price, wait = t.SpotPrice, f.wait(n, t, tuning.PatienceMost)
 				}
-				if cpus > 0 && (queued/cpus <= wait || !spot && f.inTime(n, t, queued, have)) {
+				if cpus > slack && (queued/cpus <= wait || !spot && f.inTime(n, t, queued, have)) {
 					continue
 				}
 				// Large machines are all that large tasks have; at about the
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -53,7 +53,8 @@
 	clear(l.recalls)
 	need := func(p *jobState, zone string, n int) {
 		if n > 0 {
-			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Rank: p.place, Aims: l.openAims(p, now)})
+			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Rank: p.place,
+				Waited: float64(now-p.e.At) / 1000, Aims: l.openAims(p, now)})
 		}
 	}
 	held := func(p *jobState, n int) {
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -63,7 +63,7 @@
 	l.End()
 	fl.LoadOf = func(host string) fleet.Load {
 		if h := l.loads[host]; h != nil {
-			return fleet.Load{CPUs: h.cpus, Movable: h.movable, ByPriority: h.byPriority}
+			return fleet.Load{CPUs: h.cpus, Movable: h.movable, Services: h.services, ByPriority: h.byPriority}
 		}
 		return fleet.Load{}
 	}
--- a/internal/lead/usage.go
+++ b/internal/lead/usage.go
@@ -21,6 +21,7 @@
 	tasks               int
 	cpus, cards, memory float64
 	movable             float64 // processors of those that any spot machine could have
+	services            float64 // processors of replicas of services
 	byPriority          [jobs.Production + 1]float64
 }
 
@@ -77,6 +78,9 @@
 	h.tasks += sign
 	h.cpus += s * p.desc.CPUs
 	h.byPriority[p.desc.Priority()] += s * p.desc.CPUs
+	if p.desc.Service() {
+		h.services += s * p.desc.CPUs
+	}
 	if movable(p.desc) {
 		h.movable += s * p.desc.CPUs
 	}
