Test: the longest outage that ends no replica, as a formula of the settings, both ways

TestOutageEndsNoReplica, six moments each: just below the formula no worker's session ends, 15 s above it some do and no rule breaks.

--- /dev/null
+++ b/internal/controller/outage_test.go
@@ -0,0 +1,77 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lemonmoor/internal/tuning"
+)
+
+// outlived is the longest outage of the state service that surely ends no task: owners
+// answer workers until their lease and the hold after it run out, or their knowledge of
+// cancellations is too old; a worker's lease then runs from its last answered report,
+// and after the outage an owner needs a moment until it answers again.
+func (w *world) outlived() time.Duration {
+	const recovery = 3500 * ms // a proof, a renewal, and the next reports
+	byLease := tuning.LeaseTTL - tuning.LeaseTouch - tuning.LeaseMargin + w.set.Hold()
+	byProof := w.set.AnswerWithin() - tuning.ProveEvery
+	return min(byLease, byProof) + w.set.WorkerLease() - w.set.Report()*5/4 - recovery
+}
+
+// TestOutageEndsNoReplica: an outage just below that length ends no replica, whatever
+// the moment at which it begins. One that is longer than any answer and lease may end
+// all of them, and breaks no rule even when services are called off meanwhile.
+func TestOutageEndsNoReplica(t *testing.T) {
+	for name, c := range map[string]struct {
+		longer  time.Duration
+		survive bool
+	}{"just below": {0, true}, "above": {tuning.LeaseTouch + 12*second, false}} {
+		for seed := uint64(1); seed <= 6; seed++ {
+			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
+				w := newWorld(seed)
+				for i := range 6 {
+					j := &simJob{id: fmt.Sprintf("wk-%06d", i), team: []string{"red", "blue"}[i%2], tasks: 2, cpus: 1, service: true, urgent: true, done: map[int]bool{}}
+					w.after(time.Duration(i)*second, func() { w.user(j, 0) })
+				}
+				at := 25*second + time.Duration(seed)*500*ms
+				outage := w.outlived() + c.longer
+				w.after(at, func() { w.outageFor(outage) })
+				w.after(at+outage-5*second, func() {
+					if !c.survive {
+						w.callOff(2)
+					}
+				})
+				replicas := 0
+				w.after(at, func() {
+					for _, k := range w.workers {
+						replicas += len(k.tasks)
+					}
+				})
+				w.after(at+outage+20*second, func() {
+					w.calm = w.now
+					w.asked(75 * second)
+				})
+				w.run(at + outage + 15*second)
+				ended := 0
+				for _, k := range w.workers {
+					if k.shift > 1 && !k.dead {
+						ended++
+					}
+				}
+				if replicas != 12 {
+					t.Errorf("%d replicas run when the outage begins, not 12", replicas)
+				}
+				if c.survive && ended > 0 {
+					t.Errorf("an outage of %v ends the session of %d workers", outage, ended)
+				}
+				if !c.survive && ended == 0 {
+					t.Errorf("an outage of %v ends no session: the formula is too short", outage)
+				}
+				w.finishAll(10 * second)
+				w.run(at + outage + 150*second)
+				w.check(t)
+			})
+		}
+	}
+}
