--- /dev/null
+++ b/internal/jobs/rank_test.go
@@ -0,0 +1,35 @@
+package jobs
+
+import (
+	"testing"
+
+	"lemonmoor/internal/settings"
+)
+
+// TestRankByWorkLeft: a job of which one task is left goes before a smaller one that has
+// just begun, unless it has missed an aim which the other can still meet. Ranked by all
+// of its work, its lost task waited for a minute and more.
+func TestRankByWorkLeft(t *testing.T) {
+	set := &settings.Settings{}
+	set.Deployment.Objectives = []settings.Objective{{Kind: "deadline", Class: "batch", Share: 0.9, Times: 1}}
+	due := 60.0
+	job := func(id string, tasks int) *Description {
+		return &Description{ID: id, Class: "batch", Urgency: "standard", Tasks: tasks, CPUs: 4, EstimateS: 20, DeadlineS: &due}
+	}
+	large, small := job("wk-1", 100), job("wk-2", 20)
+	a, b := NewRank(large, 0, true), NewRank(small, 1000, true)
+	if a.Before(&b) || !b.Before(&a) {
+		t.Fatal("the larger job goes first")
+	}
+	if !a.Update(large, set, 30_000, 1) || b.Update(small, set, 30_000, 20) {
+		t.Fatal("the rank changes with the work left, and with nothing else here")
+	}
+	if !a.Before(&b) || b.Before(&a) {
+		t.Error("one task that is left waits behind twenty")
+	}
+	a.Update(large, set, 40_500, 1) // it had to start its last task by 40 s
+	b.Update(small, set, 40_500, 20)
+	if a.Before(&b) {
+		t.Error("a job that is late goes before one that can be in time")
+	}
+}
