--- a/internal/agents/announce.go
+++ b/internal/agents/announce.go
@@ -7,10 +7,10 @@
 	"lemonmoor/internal/tuning"
 )
 
-// Greet tells a machine of the present token, directly: it need not come with
+// Announce tells a machine of the present token, directly: it need not come with
 // its next report first, which may be ten seconds away, before it gets tasks
 // again. The machine then reports at once.
-func (t *Table) Greet(id, addr string) {
+func (t *Registry) Announce(id, addr string) {
 	if addr == "" || t.gone[id] {
 		return
 	}
@@ -18,59 +18,59 @@
 	if h.Addr == "" {
 		h.Addr = addr
 	}
-	if h.Token < t.office.Token() && !h.Deaf && !h.inLine {
-		h.inLine = true
+	if h.Token < t.lease.Token() && !h.Deaf && !h.announcing {
+		h.announcing = true
 		t.greets = append(t.greets, h)
 	}
 }
 
-// greet sends what Greet has put in line, a few at a time.
-func (t *Table) greet() {
-	for t.greeting < tuning.GreetAhead && len(t.greets) > 0 {
+// announceNext sends the announcements that wait, a few at a time.
+func (t *Registry) announceNext() {
+	for t.greeting < tuning.AnnounceAhead && len(t.greets) > 0 {
 		h := t.greets[0]
-		t.greets, h.inLine = t.greets[1:], false
-		token := t.office.Token()
-		if h.Token >= token || t.hosts[h.ID] != h || t.dark(h.Zone) {
+		t.greets, h.announcing = t.greets[1:], false
+		token := t.lease.Token()
+		if h.Token >= token || t.hosts[h.ID] != h || t.cutOff(h.Zone) {
 			continue
 		}
 		// Of a machine that this process has not heard of, the session is a
 		// guess; refused for another one, the message does no harm.
-		body, err := json.Marshal(Orders{Token: token, Shift: max(h.Shift, 1), Orders: t.halts(h, []Order{})})
+		body, err := json.Marshal(Orders{Token: token, Session: max(h.Session, 1), Orders: t.halts(h, []Order{})})
 		if err != nil {
 			return
 		}
 		t.greeting++
 		begun := t.begun
-		t.rt.Call(h.Addr, httpwire.Call{Method: "POST", Target: "/orders", Body: body}, tuning.GreetTimeout,
+		t.rt.Call(h.Addr, httpwire.Call{Method: "POST", Target: "/orders", Body: body}, tuning.AnnounceTimeout,
 			func(ans httpwire.Answer, err error) {
-				if t.begun != begun || t.office.Token() != token {
+				if t.begun != begun || t.lease.Token() != token {
 					return // a new term greets anew
 				}
 				t.greeting--
 				if t.hosts[h.ID] == h && err == nil {
-					t.greeted(h, ans.Body, token)
+					t.announced(h, ans.Body, token)
 				}
 			})
 	}
 }
 
-// greeted takes the answer to a greeting: the worker's report. It proves that
+// announced takes the answer to an announcement: the worker's report. It proves that
 // the machine hears, and what it lists; like any answer to an order it proves
 // nothing gone.
-func (t *Table) greeted(h *Host, body []byte, token uint64) {
+func (t *Registry) announced(h *Worker, body []byte, token uint64) {
 	r, err := ParseReport(body)
-	if err != nil || r.Host != h.ID || r.Token != token || r.Shift < h.Shift {
+	if err != nil || r.Host != h.ID || r.Token != token || r.Session < h.Session {
 		return
 	}
 	if !h.Up {
 		h.Up, h.Addr, h.Build, h.Zone, h.Spot = true, r.Addr, r.Build, r.Zone, r.Spot
 		h.Type = t.Type(r.Build)
 	}
-	if h.Shift == 0 {
-		h.Shift = r.Shift
+	if h.Session == 0 {
+		h.Session = r.Session
 	}
 	h.Heard = t.rt.Now()
-	if r.Shift == h.Shift && r.Tick > h.Tick {
+	if r.Session == h.Session && r.Sequence > h.Sequence {
 		t.read(h, r, false)
 	}
 }
--- a/internal/agents/cancel.go
+++ b/internal/agents/cancel.go
@@ -8,7 +8,7 @@
 // halts adds the orders that end what a machine may have of cancelled jobs. They are
 // repeated until each task is proven gone, by whichever message there is: a halt
 // names the attempt, so that repeated or late it does no harm.
-func (t *Table) halts(h *Host, orders []Order) []Order {
+func (t *Registry) halts(h *Worker, orders []Order) []Order {
 	now := t.rt.Now()
 	for k := range h.Tasks {
 		if k.Job.Cancelled && k.Sent && len(orders) < tuning.OrdersPerMessage {
@@ -22,7 +22,7 @@
 // Cancel has the tasks of a cancelled job halted at once: with the next report the
 // order would leave seconds later, and a machine whose reports are lost can still
 // be reached.
-func (t *Table) Cancel(j *work.Job) {
+func (t *Registry) Cancel(j *work.Job) {
 	for _, k := range j.Tasks {
 		if h := t.hosts[k.Host]; h != nil && k.State == work.Placed {
 			t.ready[h] = true
@@ -35,9 +35,9 @@
 // lease runs on from the report, and nothing more may reach it. Such a machine is
 // not answered until the task is proven gone, by direct orders if they reach it, by
 // the end of its lease if not.
-func (t *Table) outlives(h *Host, r *Report) bool {
+func (t *Registry) outlives(h *Worker, r *Report) bool {
 	old := func(job string) bool {
-		age, cancelled := t.book.CancelledFor(job)
+		age, cancelled := t.tasks.CancelledFor(job)
 		return cancelled && age >= t.set.AnswerWithin()
 	}
 	for k := range h.Tasks {
@@ -54,7 +54,7 @@
 }
 
 // cancelled gives the orders that end the tasks of cancelled jobs in a report.
-func (t *Table) cancelled(r *Report) []Order {
+func (t *Registry) cancelled(r *Report) []Order {
 	var orders []Order
 	for i := range r.Tasks {
 		l := &r.Tasks[i]
@@ -62,7 +62,7 @@
 		if !ok || l.Phase == "ended" || len(orders) >= tuning.OrdersPerMessage {
 			continue
 		}
-		if _, off := t.book.CancelledFor(job); off {
+		if _, off := t.tasks.CancelledFor(job); off {
 			orders = append(orders, halt(l.Task, l.Attempt, 0))
 		}
 	}
--- a/internal/agents/hearing.go
+++ b/internal/agents/deaf.go
@@ -9,7 +9,7 @@
 
 // listen decides whether a machine that reports hears us too. To have been heard
 // is no proof of that: seen as alive, it swallowed task after task.
-func (t *Table) listen(h *Host) {
+func (t *Registry) listen(h *Worker) {
 	if h.Deaf || (h.Unheard < tuning.DeafReports && h.Lost < tuning.DeafLaunches) {
 		return
 	}
@@ -19,20 +19,20 @@
 
 // probe asks a deaf machine directly. No order is in the message and it renews
 // no lease; its answer is the proof that the machine hears again.
-func (t *Table) probe(h *Host) {
+func (t *Registry) probe(h *Worker) {
 	now := t.rt.Now()
 	if now-h.probed < tuning.ProbeEvery {
 		return
 	}
 	h.probed = now
-	token := t.office.Token()
-	body, err := json.Marshal(Orders{Token: token, Shift: h.Shift, Orders: t.halts(h, []Order{})})
+	token := t.lease.Token()
+	body, err := json.Marshal(Orders{Token: token, Session: h.Session, Orders: t.halts(h, []Order{})})
 	if err != nil {
 		return
 	}
 	t.rt.Call(h.Addr, httpwire.Call{Method: "POST", Target: "/orders", Body: body}, tuning.OrderTimeout,
 		func(ans httpwire.Answer, err error) {
-			if err != nil || t.office.Token() != token || t.hosts[h.ID] != h || !h.Deaf {
+			if err != nil || t.lease.Token() != token || t.hosts[h.ID] != h || !h.Deaf {
 				return
 			}
 			r, err := ParseReport(ans.Body)
@@ -40,18 +40,18 @@
 				return
 			}
 			t.log.Info("machine hears again", "host", h.ID)
-			h.hears()
+			h.markHearing()
 			if h.Draining == deafDrain {
 				h.Draining = ""
 			}
 		})
 }
 
-func (h *Host) hears() { h.Deaf, h.Unheard, h.Lost = false, 0, 0 }
+func (h *Worker) markHearing() { h.Deaf, h.Unheard, h.Lost = false, 0, 0 }
 
 // Deaf tells how many of the machines that report do not hear, and how many
 // report.
-func (t *Table) Deaf() (deaf, up int) {
+func (t *Registry) Deaf() (deaf, up int) {
 	for _, h := range t.list {
 		if h.Up && !h.Silent {
 			up++
--- a/internal/agents/gang.go
+++ b/internal/agents/gang.go
@@ -8,7 +8,7 @@
 )
 
 // take works out what the records of a new token say of a gang.
-func (t *Table) take(j *work.Job) {
+func (t *Registry) take(j *work.Job) {
 	j.Take(t.begun)
 	if j.Gang.Done {
 		t.Done(j)
@@ -17,7 +17,7 @@
 
 // lost takes note that a task of a gang is off its machine, and asks the others
 // how they are if that is what decides.
-func (t *Table) lost(k *work.Task, how work.Loss) {
+func (t *Registry) lost(k *work.Task, how work.Loss) {
 	j, now := k.Job, t.rt.Now()
 	doubt, was := j.Gang.Doubt, *j.Gang
 	j.Lost(k, how, now)
@@ -28,7 +28,7 @@
 	if j.Gang.Doubt != doubt && j.Gang.Doubt > 0 {
 		for _, o := range j.Tasks {
 			if h := t.hosts[o.Host]; o.State == work.Placed && h != nil {
-				h.ask, t.ready[h] = true, true
+				h.probeTasks, t.ready[h] = true, true
 			}
 		}
 	}
@@ -36,7 +36,7 @@
 }
 
 // mate takes in the state of a task of a gang, which tells of the others too.
-func (t *Table) mate(k *work.Task, phase string) {
+func (t *Registry) mate(k *work.Task, phase string) {
 	j := k.Job
 	if j.Gang == nil || k.Try() != j.Gang.Attempt {
 		return
@@ -51,7 +51,7 @@
 		j.SeenRunning(now)
 		if !k.Ran {
 			k.Ran = true
-			t.book.Changed(k, false) // for those who ask whether it runs
+			t.tasks.Changed(k, false) // for those who ask whether it runs
 		}
 	case "waiting", "fetching":
 		j.SeenWaiting(now)
@@ -62,7 +62,7 @@
 // Done takes note that a task of a gang is proven done, and with it all are.
 // Those on no machine are written off at once, the others when they are proven
 // gone: their places are not free before.
-func (t *Table) Done(j *work.Job) {
+func (t *Registry) Done(j *work.Job) {
 	if j.Gang.Done && j.Gang.Over || j.Cancelled {
 		return
 	}
@@ -72,7 +72,7 @@
 		h := t.hosts[k.Host]
 		switch {
 		case k.State == work.Waiting:
-			t.book.TaskDone(k)
+			t.tasks.TaskDone(k)
 		case k.State == work.Placed && !k.Sent && h != nil && h.Tasks[k]:
 			t.proveGone(h, k, work.Unready)
 		}
@@ -80,7 +80,7 @@
 }
 
 // windUp halts what is left of an attempt that is over.
-func (t *Table) windUp(j *work.Job, now time.Duration) {
+func (t *Registry) windUp(j *work.Job, now time.Duration) {
 	if j.Cancelled || !j.WindUp(now, t.set.GangPeer()) {
 		return
 	}
@@ -94,7 +94,7 @@
 
 // tend looks after a gang once a second: whether a task has to leave its
 // machine before the cloud takes it, and whether an attempt goes nowhere.
-func (t *Table) tend(j *work.Job, now time.Duration) {
+func (t *Registry) tend(j *work.Job, now time.Duration) {
 	g := j.Gang
 	if g.Attempt == 0 || j.Cancelled {
 		return
@@ -112,7 +112,7 @@
 // tasks are told to save at the same time, as late as that can be done. Without
 // the time for it, it runs on: it may still complete, or pass a checkpoint. One
 // that waits just leaves the machine.
-func (t *Table) leave(j *work.Job, now time.Duration) {
+func (t *Registry) leave(j *work.Job, now time.Duration) {
 	g, save := j.Gang, time.Duration(j.Desc.SaveS*float64(time.Second))
 	for _, k := range j.Tasks {
 		h := t.hosts[k.Host]
--- a/internal/agents/orders.go
+++ b/internal/agents/orders.go
@@ -10,24 +10,24 @@
 )
 
 // Settle sends direct orders for placements that have become durable.
-func (t *Table) Settle() {
-	if !t.book.IsLoaded() || !t.office.Valid() {
+func (t *Registry) Settle() {
+	if !t.tasks.IsLoaded() || !t.lease.Valid() {
 		clear(t.ready)
 		return
 	}
-	t.greet()
-	if len(t.held) > 0 && t.office.Fresh(t.heldAt) {
+	t.announceNext()
+	if len(t.held) > 0 && t.lease.Fresh(t.heldAt) {
 		for h := range t.held {
 			t.ready[h] = true
 		}
 		clear(t.held)
 	}
 	for h := range t.ready {
-		if h.flying {
+		if h.orderInFlight {
 			continue // looked at again when the answer is in
 		}
 		delete(t.ready, h)
-		if !h.Up || h.Token != t.office.Token() || h.Silent || h.Deaf {
+		if !h.Up || h.Token != t.lease.Token() || h.Silent || h.Deaf {
 			continue
 		}
 		t.direct(h)
@@ -36,13 +36,13 @@
 
 // direct sends the launches that wait for a machine, each in this one message
 // only.
-func (t *Table) direct(h *Host) {
-	token := t.office.Token()
-	msg := Orders{Token: token, Shift: h.Shift}
+func (t *Registry) direct(h *Worker) {
+	token := t.lease.Token()
+	msg := Orders{Token: token, Session: h.Session}
 	var carried []*work.Task
 	for k := range h.Tasks {
 		if h.Draining == "" && len(carried) < tuning.OrdersPerMessage && k.Launchable() {
-			if !t.office.Fresh(k.At) {
+			if !t.lease.Fresh(k.At) {
 				t.held[h], t.heldAt = true, max(t.heldAt, k.At)
 				continue
 			}
@@ -64,10 +64,10 @@
 		}
 	}
 	msg.Orders, h.ends = append(msg.Orders, h.ends...), nil
-	if len(msg.Orders) == 0 && !h.ask {
+	if len(msg.Orders) == 0 && !h.probeTasks {
 		return
 	}
-	h.ask = false
+	h.probeTasks = false
 	if msg.Orders == nil {
 		msg.Orders = []Order{}
 	}
@@ -78,17 +78,17 @@
 	}
 	attempts := make([]uint64, len(carried))
 	for i, k := range carried {
-		k.Sent, k.Flying, k.Shift, k.Tick = true, true, h.Shift, h.Tick
+		k.Sent, k.Flying, k.Session, k.Sequence = true, true, h.Session, h.Sequence
 		attempts[i] = k.Attempt
 	}
-	h.flying = true
+	h.orderInFlight = true
 	begun := t.begun
 	t.rt.Call(h.Addr, httpwire.Call{Method: "POST", Target: "/orders", Body: body}, tuning.OrderTimeout,
 		func(ans httpwire.Answer, err error) {
-			if t.begun != begun || t.office.Token() != token || t.hosts[h.ID] != h {
+			if t.begun != begun || t.lease.Token() != token || t.hosts[h.ID] != h {
 				return // another term has read the records anew
 			}
-			h.flying = false
+			h.orderInFlight = false
 			t.ready[h] = true
 			mine := func(fn func(*work.Task)) {
 				for i, k := range carried {
@@ -106,10 +106,10 @@
 			}
 			switch {
 			case err == engine.ErrNotSent || (err == nil && ans.Status == 409):
-				mine(func(k *work.Task) { k.Sent, k.Shift, k.Tick = k.Seen, 0, 0 })
+				mine(func(k *work.Task) { k.Sent, k.Session, k.Sequence = k.Seen, 0, 0 })
 			case err == nil && ans.Status == 200 && r != nil:
-				mine(func(k *work.Task) { k.Shift, k.Tick = r.Shift, r.Tick })
-				if r.Shift == h.Shift && r.Tick > h.Tick && r.Token <= token {
+				mine(func(k *work.Task) { k.Session, k.Sequence = r.Session, r.Sequence })
+				if r.Session == h.Session && r.Sequence > h.Sequence && r.Token <= token {
 					t.read(h, r, false)
 				}
 			default:
--- a/internal/agents/table.go
+++ b/internal/agents/registry.go
@@ -13,8 +13,8 @@
 	"lemonmoor/internal/work"
 )
 
-// Office is what the table asks of the block's lease.
-type Office interface {
+// Lease is what the table asks of the block's lease.
+type Lease interface {
 	Token() uint64
 	Valid() bool
 	// Answering tells whether reports are answered, and so taken in: only on
@@ -28,8 +28,8 @@
 	AnsweredBefore() time.Duration
 }
 
-// Shelf is what the table asks of the block's records.
-type Shelf interface {
+// TaskStore is what the table asks of the block's records.
+type TaskStore interface {
 	IsLoaded() bool
 	Job(id string) *work.Job
 	// CancelledFor is how long ago a job's user can have been told that it is
@@ -41,27 +41,27 @@
 	Drop(t *work.Task)
 }
 
-// Table holds all machines.
-type Table struct {
+// Registry holds all machines.
+type Registry struct {
 	// Waiting is called for a task that has become free for another machine.
 	Waiting func(*work.Task)
 	// Type finds a machine type by its label.
 	Type     func(label string) *jobs.MachineType
 	rt       engine.Runtime
-	office   Office
-	book     Shelf
+	lease    Lease
+	tasks    TaskStore
 	set      *settings.Settings
 	log      *slog.Logger
-	hosts    map[string]*Host
-	list     []*Host       // in the order of their names
+	hosts    map[string]*Worker
+	list     []*Worker     // in the order of their names
 	begun    time.Duration // this term
 	since    time.Duration // when reports began to be taken in, this time
-	ready    map[*Host]bool
-	held     map[*Host]bool  // have launches that wait for a proof, see Office.Fresh
-	heldAt   time.Duration   // the newest placement of those
-	greets   []*Host         // to be told of the token
-	greeting int             // being told
-	gone     map[string]bool // returned machines
+	ready    map[*Worker]bool
+	held     map[*Worker]bool // have launches that wait for a proof, see Lease.Fresh
+	heldAt   time.Duration    // the newest placement of those
+	greets   []*Worker        // to be told of the token
+	greeting int              // being told
+	gone     map[string]bool  // returned machines
 	zones    map[string]*zone
 }
 
@@ -72,14 +72,14 @@
 	up    int           // machines there that have reported, as of the last Tick
 }
 
-// NewTable returns an empty table.
-func NewTable(rt engine.Runtime, office Office, book Shelf, set *settings.Settings, log *slog.Logger) *Table {
-	return &Table{rt: rt, office: office, book: book, set: set, log: log,
-		hosts: map[string]*Host{}, ready: map[*Host]bool{}, held: map[*Host]bool{}, gone: map[string]bool{}, zones: map[string]*zone{}}
+// NewRegistry returns an empty table.
+func NewRegistry(rt engine.Runtime, office Lease, book TaskStore, set *settings.Settings, log *slog.Logger) *Registry {
+	return &Registry{rt: rt, lease: office, tasks: book, set: set, log: log,
+		hosts: map[string]*Worker{}, ready: map[*Worker]bool{}, held: map[*Worker]bool{}, gone: map[string]bool{}, zones: map[string]*zone{}}
 }
 
 // zone finds or makes a zone's entry.
-func (t *Table) zone(name string) *zone {
+func (t *Registry) zone(name string) *zone {
 	z := t.zones[name]
 	if z == nil {
 		z = &zone{}
@@ -88,11 +88,11 @@
 	return z
 }
 
-// Lit lists the zones from which something has been heard of late.
-func (t *Table) Lit() []string {
+// ReachableZones lists the zones from which something has been heard of late.
+func (t *Registry) ReachableZones() []string {
 	var list []string
 	for name, z := range t.zones {
-		if z.heard > 0 && t.rt.Now()-z.heard <= tuning.DarkAfter {
+		if z.heard > 0 && t.rt.Now()-z.heard <= tuning.CutOffAfter {
 			list = append(list, name)
 		}
 	}
@@ -100,15 +100,15 @@
 	return list
 }
 
-// dark tells whether a zone seems to be cut off: many machines report from it,
+// cutOff tells whether a zone seems to be cut off: many machines report from it,
 // and none has for a while, though others are heard.
-func (t *Table) dark(name string) bool {
+func (t *Registry) cutOff(name string) bool {
 	z := t.zones[name]
-	if z == nil || !t.set.Dark(z.up, t.rt.Now()-max(z.heard, t.since)) {
+	if z == nil || !t.set.CutOff(z.up, t.rt.Now()-max(z.heard, t.since)) {
 		return false
 	}
 	for _, o := range t.zones {
-		if o.heard > z.heard+tuning.DarkAfter/2 {
+		if o.heard > z.heard+tuning.CutOffAfter/2 {
 			return true
 		}
 	}
@@ -118,16 +118,16 @@
 // Begin starts a term: whatever the records place may be on its machine under
 // an earlier token, and any earlier owner may have answered reports until now
 // plus the hold.
-func (t *Table) Begin() {
+func (t *Registry) Begin() {
 	t.begun = t.rt.Now()
 	t.since = t.begun
 	for _, h := range t.hosts {
 		h.Tasks = map[*work.Task]bool{}
-		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray, h.Fetching = 0, 0, 0, false, 0, 0
+		h.CPUs, h.Cards, h.Memory, h.orderInFlight, h.UnknownTasks, h.Fetching = 0, 0, 0, false, 0, 0
 		// Between two tokens of its own a process knows what it has answered.
-		h.LeaseFrom = max(h.LeaseFrom, t.office.AnsweredBefore())
-		h.Silent, h.inLine = false, false
-		h.hears()
+		h.LeaseFrom = max(h.LeaseFrom, t.lease.AnsweredBefore())
+		h.Silent, h.announcing = false, false
+		h.markHearing()
 	}
 	clear(t.ready)
 	clear(t.held)
@@ -137,12 +137,12 @@
 	for _, late := range []bool{false, true} {
 		for _, h := range t.list {
 			if (t.begun-h.Heard > t.set.DeadAfter()) == late {
-				t.Greet(h.ID, h.Addr)
+				t.Announce(h.ID, h.Addr)
 			}
 		}
 	}
-	token := t.office.Token()
-	t.book.Jobs(func(j *work.Job) {
+	token := t.lease.Token()
+	t.tasks.Jobs(func(j *work.Job) {
 		if j.Gang != nil {
 			t.take(j)
 		}
@@ -158,55 +158,55 @@
 }
 
 // End forgets what only holds for a term.
-func (t *Table) End() {
+func (t *Registry) End() {
 	for _, h := range t.hosts {
 		h.Tasks = map[*work.Task]bool{}
-		h.CPUs, h.Cards, h.Memory, h.flying, h.Stray, h.Fetching = 0, 0, 0, false, 0, 0
+		h.CPUs, h.Cards, h.Memory, h.orderInFlight, h.UnknownTasks, h.Fetching = 0, 0, 0, false, 0, 0
 	}
 	clear(t.ready)
 	clear(t.held)
 }
 
 // host finds or makes a machine's entry.
-func (t *Table) host(id string) *Host {
+func (t *Registry) host(id string) *Worker {
 	h := t.hosts[id]
 	if h == nil {
 		now := t.rt.Now()
-		h = &Host{ID: id, Known: now, Idle: now, LeaseFrom: max(now, t.office.AnsweredBefore()),
+		h = &Worker{ID: id, Known: now, Idle: now, LeaseFrom: max(now, t.lease.AnsweredBefore()),
 			Tasks: map[*work.Task]bool{}, FailedJ: map[string]bool{}}
 		t.hosts[id] = h
-		i, _ := slices.BinarySearchFunc(t.list, id, func(h *Host, id string) int { return strings.Compare(h.ID, id) })
+		i, _ := slices.BinarySearchFunc(t.list, id, func(h *Worker, id string) int { return strings.Compare(h.ID, id) })
 		t.list = slices.Insert(t.list, i, h)
 	}
 	return h
 }
 
 // Get finds a machine.
-func (t *Table) Get(id string) *Host { return t.hosts[id] }
+func (t *Registry) Get(id string) *Worker { return t.hosts[id] }
 
 // All returns the machines in the order of their names. The list is the table's
 // own.
-func (t *Table) All() []*Host { return t.list }
+func (t *Registry) All() []*Worker { return t.list }
 
 // Open tells whether a machine may be given tasks now. One that has left an
 // order unanswered gets none before its next report: what is placed on a machine
 // that is cut off or dead waits there until its lease has run out.
-func (t *Table) Open(h *Host) bool {
+func (t *Registry) Open(h *Worker) bool {
 	now := t.rt.Now()
 	suspect := time.Duration(float64(t.set.Report()) * tuning.SuspectReports)
-	return h.Up && !h.Silent && !h.Deaf && h.Draining == "" && h.Type != nil && h.Stray == 0 &&
-		h.Token >= t.office.Token() && now-h.Heard < suspect && now >= h.Refused &&
-		h.missed <= h.Heard && !t.dark(h.Zone)
+	return h.Up && !h.Silent && !h.Deaf && h.Draining == "" && h.Type != nil && h.UnknownTasks == 0 &&
+		h.Token >= t.lease.Token() && now-h.Heard < suspect && now >= h.Refused &&
+		h.missed <= h.Heard && !t.cutOff(h.Zone)
 }
 
-func (t *Table) occupy(h *Host, k *work.Task) {
+func (t *Registry) occupy(h *Worker, k *work.Task) {
 	if !k.Imaged {
 		h.Fetching++
 	}
 	h.Add(k)
 }
 
-func (t *Table) vacate(h *Host, k *work.Task) {
+func (t *Registry) vacate(h *Worker, k *work.Task) {
 	if !h.Tasks[k] {
 		return
 	}
@@ -222,20 +222,20 @@
 
 // Place gives a waiting task to a machine. The launch leaves once the
 // placement is durable.
-func (t *Table) Place(k *work.Task, h *Host) {
+func (t *Registry) Place(k *work.Task, h *Worker) {
 	if g := k.Job.Gang; g != nil && !h.Caches(k.Job.Desc.Image) {
 		g.Cold++
 	}
 	k.Placing(h.ID)
 	k.At = t.rt.Now()
-	t.office.Fresh(k.At) // the proof comes while the placement is committed
-	k.MinToken, k.Shift, k.Tick = t.office.Token(), 0, 0
+	t.lease.Fresh(k.At) // the proof comes while the placement is committed
+	k.MinToken, k.Session, k.Sequence = t.lease.Token(), 0, 0
 	t.occupy(h, k)
-	t.book.Changed(k, true)
+	t.tasks.Changed(k, true)
 }
 
 // Launchable notes that a placement is durable.
-func (t *Table) Launchable(k *work.Task) {
+func (t *Registry) Launchable(k *work.Task) {
 	if k.Job.Gang != nil {
 		if k.Launchable() { // with the last of a gang, all of it
 			t.log.Debug("gang placed", "job", k.Job.Desc.ID, "attempt", k.Try(), "tasks", len(k.Job.Tasks), "fetching", k.Job.Gang.Cold,
@@ -255,39 +255,39 @@
 
 // proveGone ends a placement: the task is surely not on its machine. how only
 // matters for a gang.
-func (t *Table) proveGone(h *Host, k *work.Task, how work.Loss) {
+func (t *Registry) proveGone(h *Worker, k *work.Task, how work.Loss) {
 	t.vacate(h, k)
 	k.State, k.Host = work.Waiting, ""
 	k.Durable, k.Sent, k.Flying, k.Doubt, k.Seen, k.Stopping, k.Told, k.Ran = false, false, false, false, false, false, false, false
 	if k.Job.Cancelled {
-		t.book.Drop(k)
+		t.tasks.Drop(k)
 		return
 	}
 	if g := k.Job.Gang; g != nil {
 		if g.Done {
-			t.book.TaskDone(k)
+			t.tasks.TaskDone(k)
 			return
 		}
 		t.lost(k, how)
 	}
-	t.book.Changed(k, false)
+	t.tasks.Changed(k, false)
 	t.Waiting(k)
 }
 
 // leaseEnd is when all tasks of a machine that stays silent are surely gone.
-func (t *Table) leaseEnd(h *Host) time.Duration {
+func (t *Registry) leaseEnd(h *Worker) time.Duration {
 	lease := t.set.WorkerLease()
 	return h.LeaseFrom + lease + lease*tuning.DriftPerMille/1000 + tuning.GoneMargin
 }
 
 // Tick looks for machines whose lease has run out and for placements that can
 // no longer be launched.
-func (t *Table) Tick() {
-	if !t.book.IsLoaded() {
+func (t *Registry) Tick() {
+	if !t.tasks.IsLoaded() {
 		return
 	}
 	now := t.rt.Now()
-	if !t.office.Answering() {
+	if !t.lease.Answering() {
 		// In an outage of the state service that outlasts the hold, reports are
 		// turned away: that is no silence of the machines.
 		t.since = now
@@ -308,7 +308,7 @@
 		for k := range h.Tasks {
 			if k.Sent {
 				if k.Job.Cancelled && now-k.Halted >= tuning.HaltEvery {
-					t.Greet(h.ID, h.Addr) // if it has not seen the token
+					t.Announce(h.ID, h.Addr) // if it has not seen the token
 					t.ready[h] = true
 				}
 				t.move(h, k, now)
@@ -326,7 +326,7 @@
 			t.clear(h)
 		}
 	}
-	t.book.Jobs(func(j *work.Job) {
+	t.tasks.Jobs(func(j *work.Job) {
 		if j.Gang != nil {
 			t.tend(j, now)
 		}
@@ -336,7 +336,7 @@
 // move stops a running task that has to go on elsewhere: a replica on a machine
 // that is drained, or one that can save, in time before the cloud takes its
 // machine. The machine is told at once, and with each report until it is gone.
-func (t *Table) move(h *Host, k *work.Task, now time.Duration) {
+func (t *Registry) move(h *Worker, k *work.Task, now time.Duration) {
 	d := k.Job.Desc
 	saves := d.SaveEvery > 0 && h.Notice > 0 &&
 		now > h.Notice-time.Duration(d.SaveS*float64(time.Second))-tuning.NoticeReserve-tuning.SaveMargin
@@ -350,14 +350,14 @@
 
 // Discard takes a task that was never launched off its machine; its record is
 // gone.
-func (t *Table) Discard(k *work.Task) {
+func (t *Registry) Discard(k *work.Task) {
 	if h := t.hosts[k.Host]; h != nil {
 		t.vacate(h, k)
 	}
 }
 
 // clear proves all tasks of a machine gone.
-func (t *Table) clear(h *Host) {
+func (t *Registry) clear(h *Worker) {
 	for k := range h.Tasks {
 		t.proveGone(h, k, work.Vanished)
 	}
--- a/internal/agents/release.go
+++ b/internal/agents/release.go
@@ -9,7 +9,7 @@
 
 // Returned notes that the cloud has taken a machine back at our request: it
 // and all that was on it are gone.
-func (t *Table) Returned(id string) {
+func (t *Registry) Returned(id string) {
 	t.gone[id] = true
 	h := t.hosts[id]
 	if h == nil {
@@ -17,13 +17,13 @@
 	}
 	t.clear(h)
 	delete(t.hosts, id)
-	t.list = slices.DeleteFunc(t.list, func(o *Host) bool { return o == h })
+	t.list = slices.DeleteFunc(t.list, func(o *Worker) bool { return o == h })
 	delete(t.ready, h)
 	delete(t.held, h)
 }
 
 // Drain stops new tasks on a machine.
-func (t *Table) Drain(id, why string) {
+func (t *Registry) Drain(id, why string) {
 	if h := t.hosts[id]; h != nil && h.Draining == "" {
 		h.Draining = why
 		t.log.Info("draining machine", "host", id, "why", why)
@@ -32,12 +32,12 @@
 
 // GiveBack tells whether, and why, the owner wants a machine returned now:
 // nothing on it is lost by that, or it is lost already.
-func (t *Table) GiveBack(h *Host, silent, up int) string {
+func (t *Registry) GiveBack(h *Worker, silent, up int) string {
 	now := t.rt.Now()
 	switch {
 	case !h.Up:
 		return ""
-	case h.Notice > 0 && (now > h.Notice-tuning.NoticeReserve || (len(h.Tasks) == 0 && h.Stray == 0)):
+	case h.Notice > 0 && (now > h.Notice-tuning.NoticeReserve || (len(h.Tasks) == 0 && h.UnknownTasks == 0)):
 		return "taken by the cloud"
 	case t.Quiet(h) && silent*2 <= up:
 		for k := range h.Tasks {
@@ -46,13 +46,13 @@
 			}
 		}
 		return Silent
-	case h.Draining != "" && h.Notice == 0 && len(h.Tasks) == 0 && (h.Stray == 0 || h.Draining == deafDrain):
+	case h.Draining != "" && h.Notice == 0 && len(h.Tasks) == 0 && (h.UnknownTasks == 0 || h.Draining == deafDrain):
 		return h.Draining
 	}
 	return ""
 }
 
 // Quiet tells whether a machine has not reported for suspiciously long.
-func (t *Table) Quiet(h *Host) bool {
+func (t *Registry) Quiet(h *Worker) bool {
 	return h.Up && t.rt.Now()-max(h.Heard, t.since) > t.set.DeadAfter()
 }
--- a/internal/agents/report.go
+++ b/internal/agents/report.go
@@ -13,14 +13,14 @@
 var Unreachable = httpwire.ErrorBody("not the owner of this machine")
 
 // Report takes a worker's report and gives its answer.
-func (t *Table) Report(r *Report) (status int, body []byte) {
-	token := t.office.Token()
+func (t *Registry) Report(r *Report) (status int, body []byte) {
+	token := t.lease.Token()
 	if token == 0 || r.Token > token || t.gone[r.Host] {
 		return 503, Unreachable
 	}
 	now := t.rt.Now()
 	h := t.host(r.Host)
-	if r.Shift < h.Shift || (r.Shift == h.Shift && r.Tick <= h.Tick && h.Up) {
+	if r.Session < h.Session || (r.Session == h.Session && r.Sequence <= h.Sequence && h.Up) {
 		// A report that was held back: its list is old, and nobody waits
 		// for its answer.
 		return 503, Unreachable
@@ -39,8 +39,8 @@
 	} else {
 		h.Unheard++
 	}
-	if !t.book.IsLoaded() {
-		h.Shift, h.Tick, h.Token = r.Shift, r.Tick, r.Token
+	if !t.tasks.IsLoaded() {
+		h.Session, h.Sequence, h.Token = r.Session, r.Sequence, r.Token
 		if t.outlives(h, r) {
 			return 503, Unreachable
 		}
@@ -64,7 +64,7 @@
 	return t.answer(token, orders)
 }
 
-func (t *Table) answer(token uint64, orders []Order) (int, []byte) {
+func (t *Registry) answer(token uint64, orders []Order) (int, []byte) {
 	if orders == nil {
 		orders = []Order{}
 	}
@@ -79,13 +79,13 @@
 // beat: it is a report of the worker's own, not the answer to an order; only
 // those prove tasks gone and carry launches, since an order's answer may be
 // older than the worker's reading of our last answer.
-func (t *Table) read(h *Host, r *Report, beat bool) []Order {
-	later := r.Shift > h.Shift && h.Up && h.Shift > 0
+func (t *Registry) read(h *Worker, r *Report, beat bool) []Order {
+	later := r.Session > h.Session && h.Up && h.Session > 0
 	h.Token = max(h.Token, r.Token)
 	if beat {
 		// Answers to orders do not count here: a report that left before
 		// such an answer may arrive after it, and is not a late one.
-		h.Shift, h.Tick = r.Shift, r.Tick
+		h.Session, h.Sequence = r.Session, r.Sequence
 	}
 	if r.Notice != nil {
 		h.Notice = t.rt.Now() + time.Duration(*r.Notice*float64(time.Second))
@@ -94,12 +94,12 @@
 			t.log.Info("spot notice", "host", h.ID, "seconds", *r.Notice)
 		}
 	}
-	acked := r.Token >= t.office.Token()
+	acked := r.Token >= t.lease.Token()
 	listed := make(map[*work.Task]bool, len(r.Tasks))
 	var orders []Order
-	h.Stray = 0
+	h.UnknownTasks = 0
 	for i := range r.Tasks {
-		orders = t.listed(h, &r.Tasks[i], listed, acked, orders)
+		orders = t.reported(h, &r.Tasks[i], listed, acked, orders)
 	}
 	if beat {
 		lost := false
@@ -108,16 +108,16 @@
 				continue
 			}
 			switch {
-			case k.Shift > 0 && r.Shift > k.Shift, later && k.Seen:
+			case k.Session > 0 && r.Session > k.Session, later && k.Seen:
 				// A later session: the worker killed all of the earlier one.
 				t.proveGone(h, k, work.Vanished)
-			case r.Token >= k.MinToken && acked && !k.Doubt && (k.Shift == 0 || (r.Shift == k.Shift && r.Tick > k.Tick)):
-				lost = lost || (k.Shift > 0 && !k.Seen)
+			case r.Token >= k.MinToken && acked && !k.Doubt && (k.Session == 0 || (r.Session == k.Session && r.Sequence > k.Sequence)):
+				lost = lost || (k.Session > 0 && !k.Seen)
 				t.proveGone(h, k, work.Vanished)
 			case k.Doubt:
 				// The order may still be under way; a new token settles it.
 				t.log.Info("order in doubt, renewing the token", "host", h.ID, "task", k.Ref())
-				t.office.Renew()
+				t.lease.Renew()
 			}
 		}
 		if lost {
@@ -140,10 +140,10 @@
 			orders = append(orders, halt(k.Ref(), k.Try(), k.WindDown))
 		}
 	}
-	if beat && t.office.Valid() && h.Draining == "" && !h.Deaf {
+	if beat && t.lease.Valid() && h.Draining == "" && !h.Deaf {
 		for k := range h.Tasks {
-			if len(orders) < tuning.OrdersPerMessage && k.Launchable() && t.office.Fresh(k.At) {
-				k.Sent, k.Shift, k.Tick = true, r.Shift, r.Tick
+			if len(orders) < tuning.OrdersPerMessage && k.Launchable() && t.lease.Fresh(k.At) {
+				k.Sent, k.Session, k.Sequence = true, r.Session, r.Sequence
 				orders = append(orders, Order{Verb: "launch", Task: k.Ref(), Attempt: k.Try()})
 			}
 		}
@@ -158,11 +158,11 @@
 	return Order{Verb: "halt", Task: ref, Attempt: attempt, WindDown: &windDown}
 }
 
-// listed takes one task of a report.
-func (t *Table) listed(h *Host, l *Listed, seen map[*work.Task]bool, acked bool, orders []Order) []Order {
+// reported takes one task of a report.
+func (t *Registry) reported(h *Worker, l *ReportedTask, seen map[*work.Task]bool, acked bool, orders []Order) []Order {
 	var k *work.Task
 	if id, index, ok := splitRef(l.Task); ok {
-		if j := t.book.Job(id); j != nil {
+		if j := t.tasks.Job(id); j != nil {
 			k = j.Tasks[index]
 		}
 	}
@@ -170,7 +170,7 @@
 	if k == nil || k.State != work.Placed || k.Host != h.ID || k.Try() != l.Attempt {
 		// Not what the records say: an attempt that is over, or never was.
 		if l.Phase != "ended" {
-			h.Stray++
+			h.UnknownTasks++
 			return append(orders, halt(l.Task, l.Attempt, 0))
 		}
 		if k != nil && l.Cause == "done" && l.Phase == "ended" && k.Job.Gang != nil {
@@ -185,7 +185,7 @@
 		return append(orders, forget)
 	}
 	seen[k] = true
-	if k.Shift > 0 && !k.Seen {
+	if k.Session > 0 && !k.Seen {
 		h.Lost = 0 // it has heard of this one
 	}
 	k.Seen, k.Sent = true, true
@@ -218,7 +218,7 @@
 		k.Job.Errors = 0
 		if k.Job.Gang != nil && !k.Job.Cancelled {
 			t.vacate(h, k)
-			t.book.TaskDone(k)
+			t.tasks.TaskDone(k)
 			t.Done(k.Job)
 			return orders
 		}
@@ -229,10 +229,10 @@
 		t.vacate(h, k)
 		if k.Job.Cancelled {
 			k.State, k.Host = work.Waiting, ""
-			t.book.Drop(k)
+			t.tasks.Drop(k)
 			return append(orders, forget)
 		}
-		t.book.TaskDone(k)
+		t.tasks.TaskDone(k)
 		return orders
 	case "error":
 		// Whether the others had started shows in their reports.
@@ -271,7 +271,7 @@
 
 // failed takes note of a failure: machines that fail whatever they start get
 // no more tasks, and jobs that fail everywhere are slowed down.
-func (t *Table) failed(h *Host, k *work.Task) {
+func (t *Registry) failed(h *Worker, k *work.Task) {
 	h.Failed++
 	h.FailedJ[k.Job.Desc.ID] = true
 	k.Avoid = h.ID
--- a/internal/agents/wire.go
+++ b/internal/agents/wire.go
@@ -1,5 +1,5 @@
 // Package agents speaks with the workers: it takes their reports, knows what
-// is or may be on each machine, and gives orders under the office's token.
+// is or may be on each machine, and gives orders under the block lease's token.
 package agents
 
 import (
@@ -14,20 +14,20 @@
 
 // Report is what a worker says of its machine.
 type Report struct {
-	Host   string   `json:"host"`
-	Addr   string   `json:"addr"`
-	Build  string   `json:"build"`
-	Zone   string   `json:"yard"`
-	Spot   bool     `json:"loaners"`
-	Shift  uint64   `json:"shift"`
-	Tick   uint64   `json:"tick"`
-	Token  uint64   `json:"baton"`
-	Notice *float64 `json:"warningS"`
-	Tasks  []Listed `json:"pieces"`
+	Host     string         `json:"host"`
+	Addr     string         `json:"addr"`
+	Build    string         `json:"build"`
+	Zone     string         `json:"yard"`
+	Spot     bool           `json:"loaners"`
+	Session  uint64         `json:"shift"`
+	Sequence uint64         `json:"tick"`
+	Token    uint64         `json:"baton"`
+	Notice   *float64       `json:"warningS"`
+	Tasks    []ReportedTask `json:"pieces"`
 }
 
-// Listed is a task in a report.
-type Listed struct {
+// ReportedTask is a task in a report.
+type ReportedTask struct {
 	Task    string `json:"piece"`
 	Attempt uint64 `json:"try"`
 	Phase   string `json:"phase"`
@@ -45,9 +45,9 @@
 
 // Orders is the answer to a report, and, with a session, a direct message.
 type Orders struct {
-	Token  uint64  `json:"baton"`
-	Shift  uint64  `json:"shift,omitempty"`
-	Orders []Order `json:"orders"`
+	Token   uint64  `json:"baton"`
+	Session uint64  `json:"shift,omitempty"`
+	Orders  []Order `json:"orders"`
 }
 
 // ParseReport reads a report.
@@ -56,7 +56,7 @@
 	if err := json.Unmarshal(body, &r); err != nil {
 		return nil, fmt.Errorf("report: %w", err)
 	}
-	if r.Host == "" || r.Shift == 0 {
+	if r.Host == "" || r.Session == 0 {
 		return nil, errors.New(`report: "host" or "shift" missing`)
 	}
 	return &r, nil
--- a/internal/agents/host.go
+++ b/internal/agents/worker.go
@@ -7,8 +7,8 @@
 	"lemonmoor/internal/work"
 )
 
-// Host is one machine.
-type Host struct {
+// Worker is one machine.
+type Worker struct {
 	ID    string
 	Addr  string
 	Zone  string
@@ -17,11 +17,11 @@
 	Type  *jobs.MachineType
 
 	// Up: its worker has reported to this process.
-	Up          bool
-	Shift, Tick uint64
-	Token       uint64        // highest the worker has shown
-	Heard       time.Duration // its newest report
-	Known       time.Duration // when this process first knew of it
+	Up                bool
+	Session, Sequence uint64
+	Token             uint64        // highest the worker has shown
+	Heard             time.Duration // its newest report
+	Known             time.Duration // when this process first knew of it
 	// LeaseFrom bounds from when the worker's lease last ran: no answer that
 	// renews it was given to a report received later.
 	LeaseFrom time.Duration
@@ -34,11 +34,11 @@
 	// Fetching counts those of them that do not run yet: they wait for their
 	// image, as far as one can tell.
 	Fetching int
-	// Stray holds tasks that the worker lists and the records do not.
-	Stray  int
-	CPUs   float64 // taken by Tasks
-	Cards  float64
-	Memory float64
+	// UnknownTasks holds tasks that the worker lists and the records do not.
+	UnknownTasks int
+	CPUs         float64 // taken by Tasks
+	Cards        float64
+	Memory       float64
 	// ServiceCPUs is the part of CPUs that replicas of services take.
 	ServiceCPUs float64
 
@@ -55,26 +55,26 @@
 	deaf    time.Duration
 	probed  time.Duration
 
-	missed  time.Duration // when an order last went unanswered
-	Failed  int           // tasks that failed here since one ran well
-	FailedJ map[string]bool
-	flying  bool    // a direct order is under way
-	ends    []Order // halts that an answer may not carry, see Table.outlives
-	ask     bool    // how its tasks are is to be asked directly
-	inLine  bool    // to be told of the token
-	images  Cache
+	missed        time.Duration // when an order last went unanswered
+	Failed        int           // tasks that failed here since one ran well
+	FailedJ       map[string]bool
+	orderInFlight bool    // a direct order is under way
+	ends          []Order // halts that an answer may not carry, see Registry.outlives
+	probeTasks    bool    // how its tasks are is to be asked directly
+	announcing    bool    // to be told of the token
+	images        Cache
 }
 
 // Free is what new tasks may take.
-func (h *Host) Free() (cpus, cards, memory float64) {
-	if h.Type == nil || h.Stray > 0 {
+func (h *Worker) Free() (cpus, cards, memory float64) {
+	if h.Type == nil || h.UnknownTasks > 0 {
 		return 0, 0, 0
 	}
 	return h.Type.CPUs - h.CPUs, h.Type.Cards - h.Cards, h.Type.MemoryGB - h.Memory
 }
 
 // Add notes that a task takes room on the machine.
-func (h *Host) Add(k *work.Task) {
+func (h *Worker) Add(k *work.Task) {
 	d := k.Job.Desc
 	h.Tasks[k] = true
 	h.CPUs += d.CPUs
@@ -87,7 +87,7 @@
 }
 
 // Remove notes that a task has left its room on the machine.
-func (h *Host) Remove(k *work.Task) {
+func (h *Worker) Remove(k *work.Task) {
 	d := k.Job.Desc
 	delete(h.Tasks, k)
 	h.CPUs -= d.CPUs
@@ -102,10 +102,10 @@
 }
 
 // Caches tells whether the machine has, or is fetching, an image.
-func (h *Host) Caches(image string) bool { return h.images.Has(image) }
+func (h *Worker) Caches(image string) bool { return h.images.Has(image) }
 
 // Images lists the images that the machine has.
-func (h *Host) Images() []string {
+func (h *Worker) Images() []string {
 	names := make([]string, len(h.images))
 	for i, c := range h.images {
 		names[i] = c.name
@@ -114,4 +114,4 @@
 }
 
 // Use notes that a task with an image starts on the machine.
-func (h *Host) Use(image string, gb float64) { h.images.Use(image, gb, h.Type) }
+func (h *Worker) Use(image string, gb float64) { h.images.Use(image, gb, h.Type) }
--- a/internal/block/flush.go
+++ b/internal/block/flush.go
@@ -9,7 +9,7 @@
 )
 
 // later plans another flush.
-func (s *Shelf) later(d time.Duration) {
+func (s *TaskStore) later(d time.Duration) {
 	if s.planned {
 		return
 	}
@@ -24,7 +24,7 @@
 }
 
 // rate is this block's part of the write budget, in changes per second.
-func (s *Shelf) rate() float64 {
+func (s *TaskStore) rate() float64 {
 	return s.set.Deployment.State.WriteRPS * tuning.WriteShare * s.led.Rate() / float64(s.set.Blocks())
 }
 
@@ -32,8 +32,8 @@
 // while. A commit takes what has gathered. It goes alone for a moment; if its
 // answer takes longer, others follow, since the order in which pages are written
 // does not matter.
-func (s *Shelf) Flush() {
-	if s.resting || s.flights >= tuning.CommitsAhead || !s.loaded || !s.office.Valid() || len(s.dirty) == 0 {
+func (s *TaskStore) Flush() {
+	if s.resting || s.flights >= tuning.CommitsAhead || !s.loaded || !s.leases.Valid() || len(s.dirty) == 0 {
 		return
 	}
 	now := s.rt.Now()
@@ -55,7 +55,7 @@
 }
 
 // pageBytes is the most that a page of the log may hold.
-func (s *Shelf) pageBytes() int {
+func (s *TaskStore) pageBytes() int {
 	return min(tuning.PageBytes, s.led.ValueBytes())
 }
 
@@ -67,7 +67,7 @@
 	page    int
 }
 
-func (s *Shelf) commit(most int) {
+func (s *TaskStore) commit(most int) {
 	tasks := s.dirty[:0:0]
 	take := func(t *work.Task) {
 		if s.chunks[t.Chunk.Key] == t.Chunk {
@@ -146,7 +146,7 @@
 					s.Launchable(t)
 				}
 				if seq < t.Logged {
-					continue // a later commit's answer was faster; its word is newer
+					continue // a later commit's answer was faster; what it tells is newer
 				}
 				t.Logged = seq
 				s.pages.take(t.Page)
@@ -171,7 +171,7 @@
 			})
 		case ledger.Conflict:
 			// The block is another's, or this node's under a newer token.
-			s.office.Verify(func() {
+			s.leases.Verify(func() {
 				if term == s.term {
 					s.log.Warn("guards failed, renewing the token", "block", s.block, "keys", r.Failed)
 					s.renew(term)
@@ -188,10 +188,10 @@
 
 // renew asks for a new token until there is one. Until then nothing is
 // committed, so nothing is launched.
-func (s *Shelf) renew(term int) {
+func (s *TaskStore) renew(term int) {
 	if term != s.term {
 		return
 	}
-	s.office.Renew(s.block)
+	s.leases.Renew(s.block)
 	s.rt.After(tuning.StateBackoffMax, func() { s.renew(term) })
 }
--- a/internal/block/pages.go
+++ b/internal/block/pages.go
@@ -14,7 +14,7 @@
 }
 
 type page struct {
-	live  int          // tasks of which it is the newest word
+	live  int          // tasks of which it is the newest record
 	total int          // tasks it told of when it was written
 	tasks []*work.Task // those
 	used  bool
@@ -29,7 +29,7 @@
 	return &p.list[n]
 }
 
-// put notes that a page is the newest word on a task.
+// put notes that a page is the newest record on a task.
 func (p *pages) put(n int, t *work.Task) {
 	if n < 0 {
 		return
@@ -44,7 +44,7 @@
 	g.tasks = append(g.tasks, t)
 }
 
-// take notes that a page's word on a task counts no more.
+// take notes that what a page tells of a task counts no more.
 func (p *pages) take(n int) {
 	if n >= 0 {
 		p.list[n].live--
--- a/internal/block/shelf.go
+++ b/internal/block/taskstore.go
@@ -14,8 +14,8 @@
 	"lemonmoor/internal/work"
 )
 
-// Shelf holds the tasks of one block while this process owns it.
-type Shelf struct {
+// TaskStore holds the tasks of one block while this process owns it.
+type TaskStore struct {
 	// Waiting is called for a task that may be given to a machine.
 	Waiting func(*work.Task)
 	// Launchable is called when a placement is durable.
@@ -31,7 +31,7 @@
 
 	rt     engine.Runtime
 	led    *ledger.Client
-	office *ledger.Office
+	leases *ledger.LeaseManager
 	cat    *intake.Catalog
 	store  *work.Store
 	set    *settings.Settings
@@ -57,16 +57,16 @@
 	filled  time.Duration
 }
 
-// NewShelf returns an empty shelf.
-func NewShelf(rt engine.Runtime, led *ledger.Client, office *ledger.Office, cat *intake.Catalog, store *work.Store,
-	set *settings.Settings, log *slog.Logger, block int) *Shelf {
-	s := &Shelf{rt: rt, led: led, office: office, cat: cat, store: store, set: set, log: log, block: block}
+// NewTaskStore returns an empty task store.
+func NewTaskStore(rt engine.Runtime, led *ledger.Client, office *ledger.LeaseManager, cat *intake.Catalog, store *work.Store,
+	set *settings.Settings, log *slog.Logger, block int) *TaskStore {
+	s := &TaskStore{rt: rt, led: led, leases: office, cat: cat, store: store, set: set, log: log, block: block}
 	s.End()
 	return s
 }
 
 // End forgets everything: the block is lost.
-func (s *Shelf) End() {
+func (s *TaskStore) End() {
 	s.term++
 	s.token, s.loaded, s.flights, s.resting, s.planned = 0, false, 0, false, false
 	s.jobs, s.chunks, s.dirty = map[string]*work.Job{}, map[string]*work.Chunk{}, nil
@@ -74,17 +74,17 @@
 }
 
 // IsLoaded tells whether the records have been read under the present token.
-func (s *Shelf) IsLoaded() bool { return s.loaded }
+func (s *TaskStore) IsLoaded() bool { return s.loaded }
 
 // Begin reads the records for a new token. Earlier owners' commits are guarded
 // by the old stamp of the lease, so that only this process changes them now.
-func (s *Shelf) Begin(token uint64) {
+func (s *TaskStore) Begin(token uint64) {
 	s.End()
 	s.token = token
 	s.read(s.term, 0)
 }
 
-func (s *Shelf) read(term, try int) {
+func (s *TaskStore) read(term, try int) {
 	retry := func() {
 		s.rt.After(s.led.Backoff(try), func() {
 			if term == s.term {
@@ -113,7 +113,7 @@
 	})
 }
 
-func (s *Shelf) build() {
+func (s *TaskStore) build() {
 	s.store.All(func(r *work.Record) {
 		if r.Block == s.block {
 			s.add(r)
@@ -128,7 +128,7 @@
 }
 
 // add takes a record in.
-func (s *Shelf) add(r *work.Record) *work.Chunk {
+func (s *TaskStore) add(r *work.Record) *work.Chunk {
 	e := s.cat.Get(r.Job)
 	if e == nil || e.Job == nil {
 		return nil // its job is done; the leader removes what is left
@@ -156,7 +156,7 @@
 }
 
 // offer makes a chunk's waiting tasks known to the queues.
-func (s *Shelf) offer(c *work.Chunk) {
+func (s *TaskStore) offer(c *work.Chunk) {
 	for _, t := range c.Tasks {
 		if t.State != work.Waiting {
 			continue
@@ -172,7 +172,7 @@
 // RecordAdded takes in what the leader has handed out. If the watch of the jobs
 // is behind that of the records, the job is not known yet; JobChanged comes back
 // to the record then.
-func (s *Shelf) RecordAdded(r *work.Record) {
+func (s *TaskStore) RecordAdded(r *work.Record) {
 	if !s.loaded || r.Block != s.block || s.chunks[r.Key] != nil {
 		return
 	}
@@ -183,7 +183,7 @@
 
 // RecordRemoved forgets a record that the leader has removed: its tasks are
 // done, or given back.
-func (s *Shelf) RecordRemoved(r *work.Record) {
+func (s *TaskStore) RecordRemoved(r *work.Record) {
 	c := s.chunks[r.Key]
 	if !s.loaded || c == nil {
 		return
@@ -210,7 +210,7 @@
 
 // JobChanged takes note of a cancelled job, and of a new one whose records
 // came first.
-func (s *Shelf) JobChanged(e *intake.Entry) {
+func (s *TaskStore) JobChanged(e *intake.Entry) {
 	if !s.loaded {
 		return
 	}
@@ -236,13 +236,13 @@
 
 // CancelledFor is how long ago a job's user can have been told that it is
 // cancelled, at most, if it is.
-func (s *Shelf) CancelledFor(id string) (time.Duration, bool) {
+func (s *TaskStore) CancelledFor(id string) (time.Duration, bool) {
 	return s.cat.CancelledFor(id, s.set.Skew())
 }
 
 // TaskMoved takes note of a task of another block: one of a divided gang that is
 // done means that all are.
-func (s *Shelf) TaskMoved(r *work.Record, k int) {
+func (s *TaskStore) TaskMoved(r *work.Record, k int) {
 	if !s.loaded || r.Block == s.block || r.Marks[k].State != work.Done {
 		return
 	}
@@ -255,14 +255,14 @@
 // Drop ends a task of a cancelled job that is on no machine. The leader removes
 // a record only when its owner has written all of it off: removed on the
 // leader's own judgement, a placement committed meanwhile would be lost.
-func (s *Shelf) Drop(t *work.Task) {
+func (s *TaskStore) Drop(t *work.Task) {
 	t.State = work.Dropped
 	t.Chunk.Open--
 	s.Changed(t, t.Chunk.Open == 0)
 }
 
 // Recall gives up to n waiting tasks of a job back to the leader.
-func (s *Shelf) Recall(job string, n int) {
+func (s *TaskStore) Recall(job string, n int) {
 	j := s.jobs[job]
 	if !s.loaded || j == nil || j.Cancelled {
 		return
@@ -287,17 +287,17 @@
 }
 
 // Job finds a job with tasks in the block.
-func (s *Shelf) Job(id string) *work.Job { return s.jobs[id] }
+func (s *TaskStore) Job(id string) *work.Job { return s.jobs[id] }
 
 // Jobs calls fn for every job with tasks in the block.
-func (s *Shelf) Jobs(fn func(*work.Job)) {
+func (s *TaskStore) Jobs(fn func(*work.Job)) {
 	for _, j := range s.jobs {
 		fn(j)
 	}
 }
 
 // Changed marks a task for a commit; urgent if something waits for it.
-func (s *Shelf) Changed(t *work.Task, urgent bool) {
+func (s *TaskStore) Changed(t *work.Task, urgent bool) {
 	if s.chunks[t.Chunk.Key] != t.Chunk {
 		return
 	}
@@ -313,7 +313,7 @@
 
 // TaskDone notes a completed task. When nothing else of its record is open, the
 // end of the job may wait for it.
-func (s *Shelf) TaskDone(t *work.Task) {
+func (s *TaskStore) TaskDone(t *work.Task) {
 	t.State = work.Done
 	t.Chunk.Open--
 	s.Changed(t, t.Chunk.Open == 0)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,7 +22,7 @@
 
 // Paths of the messages between controllers.
 const (
-	digestPath = "/digest" // an owner's word to the leader
+	statusPath = "/digest" // an owner's status message to the leader; the name of versions before
 	beatPath   = "/beat"   // a worker's report for the owner that it cannot reach
 	statePath  = "/state"  // does the state service answer you?
 	heardPath  = "/heard"  // how long ago did a worker come to you?
@@ -34,10 +34,10 @@
 	set    *settings.Settings
 	log    *slog.Logger
 	led    *ledger.Client
-	office *ledger.Office
+	leases *ledger.LeaseManager
 	cat    *intake.Catalog
 	store  *work.Store
-	desk   *intake.Desk
+	api    *intake.API
 	leader *lead.Leader
 	fleet  *fleet.Fleet
 	owners []*owner
@@ -91,66 +91,66 @@
 func (n *Node) build(nonce uint64, rank int) {
 	rt, set, log := n.rt, n.set, n.log
 	n.owners = nil
-	n.office = ledger.NewOffice(rt, n.led, log, set.Node, nonce, rank, set.Blocks())
-	n.office.Hold = set.Hold()
+	n.leases = ledger.NewLeaseManager(rt, n.led, log, set.Node, nonce, rank, set.Blocks())
+	n.leases.Hold = set.Hold()
 	n.cat = intake.NewCatalog(rt, n.led, set.Deployment.Teams, log)
 	n.store = work.NewStore(rt, n.led, log)
-	n.fleet = fleet.New(rt, set.External.Cloud, n.office, set, log)
-	n.leader = lead.New(rt, n.led, n.office, n.cat, n.store, n.fleet, set, log)
-	n.desk = intake.NewDesk(rt, n.led, n.cat, set, log)
+	n.fleet = fleet.New(rt, set.External.Cloud, n.leases, set, log)
+	n.leader = lead.New(rt, n.led, n.leases, n.cat, n.store, n.fleet, set, log)
+	n.api = intake.NewAPI(rt, n.led, n.cat, set, log)
 	for b := range set.Blocks() {
 		n.owners = append(n.owners, newOwner(n, b))
 	}
 	n.telling = make([]bool, len(n.owners))
 
-	n.office.LeadWon = func(token uint64) {
+	n.leases.LeadWon = func(token uint64) {
 		n.leader.Begin(token)
 		n.fleet.Begin()
 	}
-	n.office.LeadLost = func() {
+	n.leases.LeadLost = func() {
 		n.leader.End()
 		n.fleet.End()
 	}
-	n.office.BlockWon = func(b int, token uint64) {
+	n.leases.BlockWon = func(b int, token uint64) {
 		n.lastBeat = rt.Now() // its workers need time to come here
 		n.owners[b].begin(token)
 	}
-	n.office.BlockLost = func(b int) { n.owners[b].end() }
+	n.leases.BlockLost = func(b int) { n.owners[b].end() }
 	n.cat.Changed = func(e *intake.Entry) {
 		n.leader.JobChanged(e)
 		for _, o := range n.owners {
-			o.shelf.JobChanged(e)
+			o.tasks.JobChanged(e)
 		}
 	}
 	n.store.Added = func(r *work.Record) {
 		n.leader.RecordAdded(r)
 		for _, o := range n.owners {
-			o.shelf.RecordAdded(r)
+			o.tasks.RecordAdded(r)
 		}
 	}
 	n.store.Removed = func(r *work.Record) {
 		n.leader.RecordRemoved(r)
 		for _, o := range n.owners {
-			o.shelf.RecordRemoved(r)
+			o.tasks.RecordRemoved(r)
 		}
 	}
 	n.store.Moved = func(r *work.Record, k int, was work.Mark) {
 		n.leader.TaskMoved(r, k, was)
 		for _, o := range n.owners {
-			o.shelf.TaskMoved(r, k)
+			o.tasks.TaskMoved(r, k)
 		}
 	}
 	pace := func() time.Duration {
-		if n.office.Lead() != 0 || n.owning() {
+		if n.leases.Lead() != 0 || n.owning() {
 			return set.WatchPause()
 		}
 		return max(tuning.PassivePause, set.WatchPause())
 	}
 	n.store.Pace(pace)
 	n.cat.Pace(pace)
-	n.desk.Types = n.fleet.Types
-	n.desk.Progress = n.store.Progress
-	n.desk.Running = n.store.Running
+	n.api.Types = n.fleet.Types
+	n.api.Progress = n.store.Progress
+	n.api.Running = n.store.Running
 }
 
 // Start begins the node's work, once it is known how the machines are divided.
@@ -159,7 +159,7 @@
 func (n *Node) start() {
 	n.cat.Start()
 	n.store.Start()
-	n.office.Start()
+	n.leases.Start()
 	n.fleet.Start()
 	n.tick()
 }
@@ -176,7 +176,7 @@
 
 // tick is what happens once a second.
 func (n *Node) tick() {
-	n.rt.After(tuning.DigestEvery, n.tick)
+	n.rt.After(tuning.StatusEvery, n.tick)
 	now := n.rt.Now()
 	up := 0
 	deaf, hearing := 0, 0
@@ -184,11 +184,11 @@
 		if o.token == 0 {
 			continue
 		}
-		o.table.Tick()
+		o.workers.Tick()
 		o.wanted = true
-		d, all := o.table.Deaf()
+		d, all := o.workers.Deaf()
 		deaf, hearing, up = deaf+d, hearing+all-d, up+all
-		n.tell(b)
+		n.sendStatus(b)
 	}
 	if n.owning() {
 		n.prove()
@@ -212,7 +212,7 @@
 // has died. If they have all died after all, the next owner hears none either: the
 // longer the block goes round, the longer it is kept.
 func (n *Node) giveUp() {
-	n.office.GiveUp()
+	n.leases.GiveUp()
 	n.lastBeat = n.rt.Now()
 	n.vain++
 }
@@ -252,29 +252,29 @@
 	}
 }
 
-// tell sends a block's digest to the leader.
-func (n *Node) tell(b int) {
+// sendStatus sends a block's status to the leader.
+func (n *Node) sendStatus(b int) {
 	o := n.owners[b]
-	if !o.shelf.IsLoaded() || n.telling[b] {
+	if !o.tasks.IsLoaded() || n.telling[b] {
 		return
 	}
-	if n.office.Lead() != 0 {
-		r := n.digest(o.digest())
+	if n.leases.Lead() != 0 {
+		r := n.takeStatus(o.status())
 		o.obey(&r)
 		return
 	}
-	endpoint := n.peers[n.office.Leader()]
+	endpoint := n.peers[n.leases.Leader()]
 	if endpoint == "" {
 		return
 	}
-	body, err := json.Marshal(o.digest())
+	body, err := json.Marshal(o.status())
 	if err != nil {
 		n.log.Error("digest does not encode", "err", err)
 		return
 	}
 	token := o.token
 	n.telling[b] = true
-	n.rt.Peer(endpoint, digestPath, body, tuning.PeerTimeout, func(answer []byte, err error) {
+	n.rt.Peer(endpoint, statusPath, body, tuning.PeerTimeout, func(answer []byte, err error) {
 		n.telling[b] = false
 		var r fleet.Reply
 		if err == nil {
@@ -290,12 +290,12 @@
 	})
 }
 
-// digest takes an owner's word; only the leader does.
-func (n *Node) digest(d *fleet.Digest) fleet.Reply {
-	if d.Block < 0 || d.Block >= len(n.owners) || n.office.Owner(d.Block) != d.Node {
+// takeStatus takes an owner's status message; only the leader does.
+func (n *Node) takeStatus(d *fleet.BlockStatus) fleet.Reply {
+	if d.Block < 0 || d.Block >= len(n.owners) || n.leases.Owner(d.Block) != d.Node {
 		return fleet.Reply{}
 	}
-	r := n.fleet.Hear(d)
+	r := n.fleet.TakeStatus(d)
 	r.Recall = n.leader.Recalls(d.Block)
 	n.leader.Wake()
 	return r
@@ -304,13 +304,13 @@
 // Peer serves a message of another controller, on the loop.
 func (n *Node) Peer(path string, body []byte, answer func([]byte, bool)) {
 	switch path {
-	case digestPath:
-		var d fleet.Digest
-		if err := json.Unmarshal(body, &d); err != nil || n.office.Lead() == 0 {
+	case statusPath:
+		var d fleet.BlockStatus
+		if err := json.Unmarshal(body, &d); err != nil || n.leases.Lead() == 0 {
 			answer(nil, false)
 			return
 		}
-		reply, err := json.Marshal(n.digest(&d))
+		reply, err := json.Marshal(n.takeStatus(&d))
 		answer(reply, err == nil)
 	case beatPath:
 		r, err := agents.ParseReport(body)
@@ -327,7 +327,7 @@
 		// count it made owners give up their blocks after a restart, when
 		// all workers still reported through another node.
 		n.lastBeat, n.vain = n.rt.Now(), 0
-		status, reply := o.table.Report(r)
+		status, reply := o.workers.Report(r)
 		o.wanted = true
 		answer(reply, status == 200)
 	case heardPath:
@@ -392,7 +392,7 @@
 func (n *Node) answering(o *owner) bool {
 	now := n.rt.Now()
 	proven, known := n.cat.Proven()
-	return o.token != 0 && !n.office.Waived(o.block) && now < n.office.AnswersUntil() &&
+	return o.token != 0 && !n.leases.Waived(o.block) && now < n.leases.AnswersUntil() &&
 		known && now < proven+n.set.AnswerWithin()
 }
 
@@ -411,7 +411,7 @@
 // prove keeps what an owner's answers rest on proven.
 func (n *Node) prove() {
 	n.cat.Prove(tuning.ProveEvery)
-	n.office.Prove()
+	n.leases.Prove()
 }
 
 // beat serves POST /agent/beat.
@@ -426,7 +426,7 @@
 	b := work.BlockOf(r.Host, len(n.owners))
 	o := n.owners[b]
 	if n.answering(o) {
-		status, answer := o.table.Report(r)
+		status, answer := o.workers.Report(r)
 		o.wanted = true
 		reply(status, answer, 0)
 		return
@@ -434,7 +434,7 @@
 	if o.token != 0 {
 		n.prove() // at once: a lease may be valid again
 	}
-	to := n.office.Owner(b)
+	to := n.leases.Owner(b)
 	s, back := n.sent[r.Host]
 	endpoint := n.peers[to]
 	if !back || now-s.last > tuning.RelayWithin || now-s.since > tuning.RelayFor || endpoint == "" {
@@ -449,7 +449,7 @@
 	n.sent[r.Host] = s
 	n.rt.Peer(endpoint, beatPath, body, tuning.PeerTimeout, func(answer []byte, err error) {
 		if err != nil {
-			n.redirect(n.office.Owner(b), reply)
+			n.redirect(n.leases.Owner(b), reply)
 			return
 		}
 		reply(200, answer, 0)
@@ -500,7 +500,7 @@
 		default:
 			reply(503, httpwire.ErrorBody("not ready"), 0)
 		}
-	case n.desk.Route(req, reply):
+	case n.api.Route(req, reply):
 	default:
 		reply(404, httpwire.ErrorBody("no such path"), 0)
 	}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -16,8 +16,8 @@
 	node    *Node
 	block   int
 	token   uint64
-	shelf   *block.Shelf
-	table   *agents.Table
+	tasks   *block.TaskStore
+	workers *agents.Registry
 	planner *placement.Planner
 
 	lastRound time.Duration
@@ -25,15 +25,15 @@
 	wanted    bool // a placement round is due
 
 	seq    uint64 // of the digests
-	told   map[string]fleet.HostState
-	untold bool // a digest may not have arrived
+	told   map[string]fleet.MachineStatus
+	unsent bool // a status message may not have arrived
 }
 
 // Token, Valid, Answering and Renew are the block's lease, as the table sees it.
 func (o *owner) Token() uint64 { return o.token }
 
 // Valid tells whether the lease surely holds now.
-func (o *owner) Valid() bool { return o.token != 0 && o.node.office.Valid() }
+func (o *owner) Valid() bool { return o.token != 0 && o.node.leases.Valid() }
 
 // Answering tells whether reports are taken in.
 func (o *owner) Answering() bool { return o.node.answering(o) }
@@ -43,27 +43,27 @@
 func (o *owner) Fresh(since time.Duration) bool { return o.node.fresh(since) }
 
 // AnsweredBefore is when the last earlier owner stops answering, at the latest.
-func (o *owner) AnsweredBefore() time.Duration { return o.node.office.AnsweredBefore(o.block) }
+func (o *owner) AnsweredBefore() time.Duration { return o.node.leases.AnsweredBefore(o.block) }
 
 // Renew asks for a new token.
-func (o *owner) Renew() { o.node.office.Renew(o.block) }
+func (o *owner) Renew() { o.node.leases.Renew(o.block) }
 
 func newOwner(n *Node, number int) *owner {
-	o := &owner{node: n, block: number, told: map[string]fleet.HostState{}}
-	o.shelf = block.NewShelf(n.rt, n.led, n.office, n.cat, n.store, n.set, n.log, number)
-	o.table = agents.NewTable(n.rt, o, o.shelf, n.set, n.log)
+	o := &owner{node: n, block: number, told: map[string]fleet.MachineStatus{}}
+	o.tasks = block.NewTaskStore(n.rt, n.led, n.leases, n.cat, n.store, n.set, n.log, number)
+	o.workers = agents.NewRegistry(n.rt, o, o.tasks, n.set, n.log)
 	o.planner = placement.New(n.set.WaitBound())
-	o.shelf.Waiting = o.arrive
-	o.shelf.Launchable = o.table.Launchable
-	o.shelf.Discard = o.table.Discard
-	o.shelf.Done = o.table.Done
-	o.shelf.Cancel = o.table.Cancel
-	o.shelf.Loaded = o.table.Begin
-	o.table.Waiting = o.arrive
-	o.table.Type = n.fleet.Type
-	o.planner.Open = o.table.Open
-	o.planner.Find = o.table.Get
-	o.planner.Place = o.table.Place
+	o.tasks.Waiting = o.arrive
+	o.tasks.Launchable = o.workers.Launchable
+	o.tasks.Discard = o.workers.Discard
+	o.tasks.Done = o.workers.Done
+	o.tasks.Cancel = o.workers.Cancel
+	o.tasks.Loaded = o.workers.Begin
+	o.workers.Waiting = o.arrive
+	o.workers.Type = n.fleet.Type
+	o.planner.Open = o.workers.Open
+	o.planner.Find = o.workers.Get
+	o.planner.Place = o.workers.Place
 	o.planner.Prompt = n.set.Prompt
 	o.planner.Rerank = func(j *work.Job, wallMS int64) bool {
 		return j.Rank.Update(j.Desc, n.set, wallMS, j.Open())
@@ -73,7 +73,7 @@
 
 func (o *owner) arrive(t *work.Task) {
 	if t.Job.Gang != nil && t.Job.Spent() {
-		o.shelf.Recall(t.Job.Desc.ID, len(t.Job.Tasks)) // the leader divides it anew
+		o.tasks.Recall(t.Job.Desc.ID, len(t.Job.Tasks)) // the leader divides it anew
 		return
 	}
 	o.planner.Arrive(t, o.node.rt.Now())
@@ -82,27 +82,27 @@
 
 // begin starts to act under a new token.
 func (o *owner) begin(token uint64) {
-	o.token, o.untold = token, true
+	o.token, o.unsent = token, true
 	o.planner.Reset()
-	o.table.End()
-	o.shelf.Begin(token)
+	o.workers.End()
+	o.tasks.Begin(token)
 }
 
 func (o *owner) end() {
 	o.token = 0
-	o.shelf.End()
+	o.tasks.End()
 	o.planner.Reset()
-	o.table.End()
+	o.workers.End()
 }
 
 // pause is the time between two placement rounds.
 func (o *owner) pause() time.Duration {
-	return tuning.RoundPause + time.Duration(len(o.table.All()))*tuning.RoundPerMachine
+	return tuning.RoundPause + time.Duration(len(o.workers.All()))*tuning.RoundPerMachine
 }
 
 // settle takes the decisions that a batch of commands has made necessary.
 func (o *owner) settle() {
-	if o.token == 0 || !o.shelf.IsLoaded() {
+	if o.token == 0 || !o.tasks.IsLoaded() {
 		return
 	}
 	if o.wanted && o.Valid() && !o.rounding {
@@ -112,21 +112,21 @@
 			o.node.rt.After(wait, func() { o.rounding = false })
 		} else {
 			o.wanted, o.lastRound = false, now
-			o.planner.Round(o.table.All(), now, o.node.rt.Wall())
+			o.planner.Round(o.workers.All(), now, o.node.rt.Wall())
 		}
 	}
-	o.shelf.Flush()
-	o.table.Settle()
+	o.tasks.Flush()
+	o.workers.Settle()
 }
 
-// digest is the owner's word to the leader: of all machines when the word
+// status is the owner's word to the leader: of all machines when the word
 // before may not have arrived, else of those of which something has changed.
-func (o *owner) digest() *fleet.Digest {
+func (o *owner) status() *fleet.BlockStatus {
 	now := o.node.rt.Now()
-	hosts := o.table.All()
+	hosts := o.workers.All()
 	o.seq++
-	d := &fleet.Digest{Node: o.node.set.Node, Block: o.block, Token: o.token, Seq: o.seq, Full: o.untold, Lit: o.table.Lit()}
-	if o.untold {
+	d := &fleet.BlockStatus{Node: o.node.set.Node, Block: o.block, Token: o.token, Seq: o.seq, Full: o.unsent, ReachableZones: o.workers.ReachableZones()}
+	if o.unsent {
 		clear(o.told)
 	}
 	up, quiet := 0, 0
@@ -134,13 +134,13 @@
 		if h.Up {
 			up++
 		}
-		if o.table.Quiet(h) {
+		if o.workers.Quiet(h) {
 			quiet++
 		}
 	}
 	for _, h := range hosts {
-		s := fleet.HostState{ID: h.ID, Addr: h.Addr, Build: h.Build, Zone: h.Zone, Spot: h.Spot, Up: h.Up,
-			Open: o.table.Open(h), Busy: len(h.Tasks)+h.Stray > 0, Back: o.table.GiveBack(h, quiet, up)}
+		s := fleet.MachineStatus{ID: h.ID, Addr: h.Addr, Build: h.Build, Zone: h.Zone, Spot: h.Spot, Up: h.Up,
+			Open: o.workers.Open(h), Busy: len(h.Tasks)+h.UnknownTasks > 0, Back: o.workers.GiveBack(h, quiet, up)}
 		if o.told[h.ID] == s {
 			continue
 		}
@@ -150,25 +150,25 @@
 		}
 		d.Hosts = append(d.Hosts, s)
 	}
-	o.untold = true // until its answer is in
+	o.unsent = true // until its answer is in
 	return d
 }
 
-// obey carries out the leader's answer to a digest.
+// obey carries out the leader's answer to a status message.
 func (o *owner) obey(r *fleet.Reply) {
-	o.untold = r.Full
+	o.unsent = r.Full
 	for _, id := range r.Returned {
-		o.table.Returned(id)
+		o.workers.Returned(id)
 		delete(o.told, id)
 	}
 	for _, m := range r.Machines {
-		o.table.Greet(m.ID, m.Addr)
+		o.workers.Announce(m.ID, m.Addr)
 	}
 	for _, id := range r.Drain {
-		o.table.Drain(id, "idle")
+		o.workers.Drain(id, "idle")
 	}
 	for _, c := range r.Recall {
-		o.shelf.Recall(c.Job, c.Number)
+		o.tasks.Recall(c.Job, c.Number)
 	}
 	o.wanted = true
 }
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -30,7 +30,7 @@
 		each := tasksOn(t, d)
 		for _, zone := range t.Zones {
 			k := Kind{t.Label, zone, true}
-			if each == 0 || now < f.pauses[k] || f.dark(zone) || !f.empty(k).Could(d, "") {
+			if each == 0 || now < f.pauses[k] || f.cutOff(zone) || !f.empty(k).Could(d, "") {
 				continue
 			}
 			if c := t.SpotPrice / float64(each); c < cost {
@@ -130,5 +130,5 @@
 	}
 	f.counter++
 	number := min(tuning.HireMax, int(wanted/each))
-	f.hire(term, hire{fmt.Sprintf("r-%d-%d", f.office.Lead(), f.counter), best.Build, best.Zone, true, number}, 0)
+	f.hire(term, hire{fmt.Sprintf("r-%d-%d", f.lease.Lead(), f.counter), best.Build, best.Zone, true, number}, 0)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,8 +14,8 @@
 	"lemonmoor/internal/tuning"
 )
 
-// Office is what the fleet asks of the lease.
-type Office interface {
+// Lease is what the fleet asks of the lease.
+type Lease interface {
 	Lead() uint64
 	Valid() bool
 	Owner(block int) string
@@ -54,7 +54,7 @@
 	asked   bool // the request is under way
 	why     string
 	drain   string // why its owner is asked to keep tasks off it
-	state   HostState
+	state   MachineStatus
 	known   bool          // there is one
 	idle    time.Duration // since when it has had no tasks
 }
@@ -66,46 +66,46 @@
 	// LoadOf tells what the tasks placed on a machine take.
 	LoadOf func(host string) Load
 
-	rt     engine.Runtime
-	addr   string
-	office Office
-	set    *settings.Settings
-	log    *slog.Logger
-
-	types    []jobs.MachineType
-	machines map[string]*machine
-	returned map[string]time.Duration // when
-	pauses   map[Kind]time.Duration
-	needs    []Need
-	movable  *jobs.Description        // see Want
-	peak     float64                  // processors of such work, the most of late
-	least    [2]float64               // and the least, in this window and the one before
-	turned   time.Duration            // when this window began
-	peaked   time.Duration            // when that was last looked at
-	wanting  time.Duration            // since when spot machines would be cheaper, 0: they would not
-	words    []word                   // by block
-	news     [][]string               // by block: returned since the owner's last word
-	lit      map[string]time.Duration // by zone: when an owner last heard from it
-	running  map[string]int           // by zone: machines that should report
-	darkAt   map[string]time.Duration // by zone: when it was last cut off
-	counter  uint64
-	term     int
-	begun    time.Duration
-	since    time.Duration // when this node could begin to act, this time
-	listed   bool          // the machine list has been read in this term
-	stalled  time.Duration // when there was last work that could not be handed out for want of changes
-	flying   map[string]hire
-	tokens   float64
-	filled   time.Duration
+	rt    engine.Runtime
+	addr  string
+	lease Lease
+	set   *settings.Settings
+	log   *slog.Logger
+
+	types      []jobs.MachineType
+	machines   map[string]*machine
+	returned   map[string]time.Duration // when
+	pauses     map[Kind]time.Duration
+	needs      []Need
+	movable    *jobs.Description        // see Want
+	peak       float64                  // processors of such work, the most of late
+	least      [2]float64               // and the least, in this window and the one before
+	turned     time.Duration            // when this window began
+	peaked     time.Duration            // when that was last looked at
+	wanting    time.Duration            // since when spot machines would be cheaper, 0: they would not
+	statuses   []statusHeard            // by block
+	unreported [][]string               // by block: returned since the owner's last message
+	reachable  map[string]time.Duration // by zone: when an owner last heard from it
+	running    map[string]int           // by zone: machines that should report
+	cutOffAt   map[string]time.Duration // by zone: when it was last cut off
+	counter    uint64
+	term       int
+	begun      time.Duration
+	since      time.Duration // when this node could begin to act, this time
+	listed     bool          // the machine list has been read in this term
+	stalled    time.Duration // when there was last work that could not be handed out for want of changes
+	inFlight   map[string]hire
+	tokens     float64
+	filled     time.Duration
 }
 
 // New returns a fleet that speaks to the cloud at addr.
-func New(rt engine.Runtime, addr string, office Office, set *settings.Settings, log *slog.Logger) *Fleet {
-	return &Fleet{rt: rt, addr: addr, office: office, set: set, log: log,
+func New(rt engine.Runtime, addr string, office Lease, set *settings.Settings, log *slog.Logger) *Fleet {
+	return &Fleet{rt: rt, addr: addr, lease: office, set: set, log: log,
 		machines: map[string]*machine{}, returned: map[string]time.Duration{}, pauses: map[Kind]time.Duration{},
-		LoadOf: func(string) Load { return Load{} },
-		flying: map[string]hire{}, words: make([]word, set.Blocks()), news: make([][]string, set.Blocks()),
-		lit: map[string]time.Duration{}, running: map[string]int{}, darkAt: map[string]time.Duration{}}
+		LoadOf:   func(string) Load { return Load{} },
+		inFlight: map[string]hire{}, statuses: make([]statusHeard, set.Blocks()), unreported: make([][]string, set.Blocks()),
+		reachable: map[string]time.Duration{}, running: map[string]int{}, cutOffAt: map[string]time.Duration{}}
 }
 
 // Begin starts a term.
@@ -115,12 +115,12 @@
 	f.since = f.begun
 	f.listed, f.counter, f.stalled = false, 0, 0
 	clear(f.machines)
-	clear(f.flying)
-	clear(f.words)
+	clear(f.inFlight)
+	clear(f.statuses)
 	clear(f.pauses)
-	clear(f.lit)
+	clear(f.reachable)
 	clear(f.running)
-	clear(f.darkAt)
+	clear(f.cutOffAt)
 	f.needs, f.movable, f.wanting, f.peak, f.least = nil, nil, 0, 0, [2]float64{}
 	term := f.term
 	f.list(term)
@@ -151,7 +151,7 @@
 		if t == nil || m.release || m.failed || m.drain != "" {
 			continue
 		}
-		if m.known && (!f.fresh(m) || !m.state.Open) || f.unheard(m) || f.dark(m.kind.Zone) {
+		if m.known && (!f.fresh(m) || !m.state.Open) || f.unheard(m) || f.cutOff(m.kind.Zone) {
 			continue
 		}
 		r = Room{Kind: m.kind, Host: m.id, Block: m.block, Type: t, Booting: !m.known}
@@ -162,10 +162,10 @@
 	}
 	// Machines whose rental is under way: their names, and so their blocks,
 	// will be spread evenly.
-	for _, h := range f.flying {
+	for _, h := range f.inFlight {
 		t := f.Type(h.Build)
 		for i := 0; t != nil && i < h.Number; i++ {
-			r = Room{Kind: h.kind(), Block: i % len(f.words), Type: t, Booting: true, Ready: bootTime(t)}
+			r = Room{Kind: h.kind(), Block: i % len(f.statuses), Type: t, Booting: true, Ready: bootTime(t)}
 			fn(&r)
 		}
 	}
@@ -192,7 +192,7 @@
 		return
 	}
 	f.rt.After(tuning.FleetRound, func() { f.round(term) })
-	if !f.office.Valid() {
+	if !f.lease.Valid() {
 		f.since = f.rt.Now()
 		return
 	}
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -65,7 +65,7 @@
 				}
 				m := f.machines[l.ID]
 				if m == nil {
-					m = &machine{id: l.ID, kind: Kind{l.Build, l.Zone, l.Spot}, block: work.BlockOf(l.ID, len(f.words)),
+					m = &machine{id: l.ID, kind: Kind{l.Build, l.Zone, l.Spot}, block: work.BlockOf(l.ID, len(f.statuses)),
 						rented: asked - time.Duration(l.AgeS*float64(time.Second))}
 					f.machines[l.ID] = m
 				}
--- a/internal/fleet/rent.go
+++ b/internal/fleet/rent.go
@@ -29,7 +29,7 @@
 // behind those before it; machines are rented while that wait, at the pace of
 // the machines that could do the work, is longer than the users' aims leave.
 func (f *Fleet) rent(term int) {
-	if f.types == nil || f.rt.Now()-f.begun < tuning.DigestEvery*2 {
+	if f.types == nil || f.rt.Now()-f.begun < tuning.StatusEvery*2 {
 		return
 	}
 	have := f.capacities()
@@ -76,7 +76,7 @@
 				return
 			}
 			f.counter++
-			f.hire(term, hire{fmt.Sprintf("r-%d-%d", f.office.Lead(), f.counter), k.Build, k.Zone, k.Spot, min(left, tuning.HireMax)}, 0)
+			f.hire(term, hire{fmt.Sprintf("r-%d-%d", f.lease.Lead(), f.counter), k.Build, k.Zone, k.Spot, min(left, tuning.HireMax)}, 0)
 		}
 	}
 }
@@ -93,7 +93,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				k := Kind{t.Label, zone, spot}
-				if now < f.pauses[k] || f.dark(zone) || wanted[k] >= tuning.HireAhead || !f.empty(k).Could(n.Desc, n.Zone) {
+				if now < f.pauses[k] || f.cutOff(zone) || wanted[k] >= tuning.HireAhead || !f.empty(k).Could(n.Desc, n.Zone) {
 					continue
 				}
 				price, wait := t.Price, f.wait(n, t, tuning.MissedPatience)
@@ -166,14 +166,14 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				k, each := Kind{t.Label, zone, spot}, tasksOn(t, n.Desc)
-				if now < f.pauses[k] || f.dark(zone) || each == 0 || !f.empty(k).Could(n.Desc, n.Zone) {
+				if now < f.pauses[k] || f.cutOff(zone) || each == 0 || !f.empty(k).Could(n.Desc, n.Zone) {
 					continue
 				}
 				// Machines belong to blocks by their names, in turn, and a gang
 				// stays in one block if it can.
 				want := (n.Number + each - 1) / each
 				if want > 1 {
-					want *= len(f.words)
+					want *= len(f.statuses)
 				}
 				price := t.Price
 				if spot {
@@ -215,7 +215,7 @@
 		t := &f.types[i]
 		for _, spot := range []bool{true, false} {
 			k := Kind{t.Label, zone, spot}
-			if slices.Contains(t.Zones, zone) && f.rt.Now() >= f.pauses[k] && !f.dark(zone) && f.empty(k).Could(d, zone) {
+			if slices.Contains(t.Zones, zone) && f.rt.Now() >= f.pauses[k] && !f.cutOff(zone) && f.empty(k).Could(d, zone) {
 				return true
 			}
 		}
@@ -249,13 +249,13 @@
 	if err != nil {
 		return
 	}
-	f.flying[h.Name] = h
+	f.inFlight[h.Name] = h
 	f.rt.Call(f.addr, httpwire.Call{Method: "POST", Target: "/rentals", Body: body}, tuning.CloudTimeout,
 		func(ans httpwire.Answer, err error) {
 			if term != f.term {
 				return // machines it brings turn up in reports and in the list
 			}
-			delete(f.flying, h.Name)
+			delete(f.inFlight, h.Name)
 			k := h.kind()
 			var reply struct {
 				Hosts []string `json:"hosts"`
@@ -268,7 +268,7 @@
 			case err == nil && ans.Status == 200:
 				for _, id := range reply.Hosts {
 					if f.machines[id] == nil {
-						f.machines[id] = &machine{id: id, kind: k, rented: f.rt.Now(), block: work.BlockOf(id, len(f.words))}
+						f.machines[id] = &machine{id: id, kind: k, rented: f.rt.Now(), block: work.BlockOf(id, len(f.statuses))}
 					}
 				}
 				if len(reply.Hosts) < h.Number {
@@ -282,7 +282,7 @@
 				f.pauses[k] = f.rt.Now() + 5*tuning.CapacityPause
 				f.log.Warn("rental refused as malformed", "body", string(ans.Body))
 			default:
-				f.flying[h.Name] = h
+				f.inFlight[h.Name] = h
 				pause := min(time.Second<<min(try, 3), 8*time.Second)
 				f.rt.After(time.Duration(float64(pause)*(0.5+f.rt.Rand())), func() {
 					if term != f.term {
--- a/internal/fleet/returns.go
+++ b/internal/fleet/returns.go
@@ -15,8 +15,8 @@
 // first report, or while the controllers were down, counted as booting for ever,
 // and nothing was rented in its place.
 func (f *Fleet) unheard(m *machine) bool {
-	w, now := &f.words[m.block], f.rt.Now()
-	return !m.known && m.running > 0 && w.any && now-w.heard < tuning.DigestStale &&
+	w, now := &f.statuses[m.block], f.rt.Now()
+	return !m.known && m.running > 0 && w.any && now-w.heard < tuning.StatusStale &&
 		now-max(w.since, m.running, f.since) > f.set.DeadAfter()
 }
 
@@ -51,11 +51,11 @@
 		}
 	}
 	for zone := range f.running {
-		if f.dark(zone) {
-			if _, was := f.darkAt[zone]; !was || now-f.darkAt[zone] > f.set.DeadAfter() {
+		if f.cutOff(zone) {
+			if _, was := f.cutOffAt[zone]; !was || now-f.cutOffAt[zone] > f.set.DeadAfter() {
 				f.log.Info("zone is cut off", "zone", zone, "machines", f.running[zone])
 			}
-			f.darkAt[zone] = now
+			f.cutOffAt[zone] = now
 		}
 	}
 	spare := max(tuning.SpareLeast, int(tuning.Spare*float64(machines)))
@@ -153,8 +153,8 @@
 				// Whoever leads now: the machines are gone.
 				for _, id := range names {
 					f.returned[id] = f.rt.Now()
-					b := work.BlockOf(id, len(f.words))
-					f.news[b] = append(f.news[b], id)
+					b := work.BlockOf(id, len(f.statuses))
+					f.unreported[b] = append(f.unreported[b], id)
 				}
 			}
 			if term != f.term {
--- a/internal/fleet/digest.go
+++ b/internal/fleet/status.go
@@ -6,16 +6,16 @@
 	"lemonmoor/internal/tuning"
 )
 
-// word is the newest that a block's owner has told.
-type word struct {
+// statusHeard is the newest that a block's owner has told.
+type statusHeard struct {
 	token, seq uint64
 	heard      time.Duration
 	since      time.Duration // when this owner was first heard, without a gap
 	any        bool
 }
 
-// HostState is what a block's owner tells of a machine.
-type HostState struct {
+// MachineStatus is what a block's owner tells of a machine.
+type MachineStatus struct {
 	ID     string `json:"id"`
 	Addr   string `json:"addr"`
 	Build  string `json:"build"`
@@ -28,16 +28,16 @@
 	Back   string `json:"back,omitempty"` // why it should be returned now
 }
 
-// Digest is an owner's word on its block: all machines, or those of which
-// something has changed since the word before.
-type Digest struct {
-	Node  string      `json:"node"`
-	Block int         `json:"block"`
-	Token uint64      `json:"token"`
-	Seq   uint64      `json:"seq"`
-	Full  bool        `json:"full,omitempty"`
-	Lit   []string    `json:"lit,omitempty"` // zones that it has heard from just now
-	Hosts []HostState `json:"hosts"`
+// BlockStatus is an owner's status message on its block: all machines, or those of which
+// something has changed since the message before.
+type BlockStatus struct {
+	Node           string          `json:"node"`
+	Block          int             `json:"block"`
+	Token          uint64          `json:"token"`
+	Seq            uint64          `json:"seq"`
+	Full           bool            `json:"full,omitempty"`
+	ReachableZones []string        `json:"lit,omitempty"` // zones that it has heard from just now
+	Hosts          []MachineStatus `json:"hosts"`
 }
 
 // Recall asks an owner to give waiting tasks of a job back.
@@ -52,29 +52,29 @@
 	Addr string `json:"addr"`
 }
 
-// Reply is the leader's answer to a digest.
+// Reply is the leader's answer to a status message.
 type Reply struct {
-	Full  bool     `json:"full,omitempty"` // a word is missing: tell all
+	Full  bool     `json:"full,omitempty"` // a message is missing: send all
 	Drain []string `json:"drain,omitempty"`
-	// Machines are those that the owner has not heard of, to a full word.
+	// Machines are those that the owner has not heard of, to a full status message.
 	Machines []Address `json:"machines,omitempty"`
 	Returned []string  `json:"returned,omitempty"` // gone, with all on them
 	Recall   []Recall  `json:"recall,omitempty"`
 }
 
-// fresh tells whether the owner's word on a machine is new enough. Words come
+// fresh tells whether the owner's status of a machine is new enough. Messages come
 // every second, whatever the workers' pace.
 func (f *Fleet) fresh(m *machine) bool {
-	w := &f.words[m.block]
-	return m.known && w.any && f.rt.Now()-w.heard < tuning.DigestStale
+	w := &f.statuses[m.block]
+	return m.known && w.any && f.rt.Now()-w.heard < tuning.StatusStale
 }
 
-// Hear takes an owner's digest. Machines in it that were not rented in this
+// TakeStatus takes an owner's status message. Machines in it that were not rented in this
 // term are adopted.
-func (f *Fleet) Hear(d *Digest) Reply {
+func (f *Fleet) TakeStatus(d *BlockStatus) Reply {
 	var r Reply
 	now := f.rt.Now()
-	w := &f.words[d.Block]
+	w := &f.statuses[d.Block]
 	if w.any && (d.Token < w.token || (d.Token == w.token && d.Seq <= w.seq)) {
 		// Held back on its way. A machine in it, returned long ago, counted as
 		// room for ever: nothing was rented for tasks that waited for it.
@@ -84,17 +84,17 @@
 		r.Full = true // what it tells is true, but something is missing
 	} else {
 		since := w.since
-		if !w.any || w.token != d.Token || now-w.heard > tuning.DigestStale {
+		if !w.any || w.token != d.Token || now-w.heard > tuning.StatusStale {
 			since = now
 		}
-		*w = word{d.Token, d.Seq, now, since, true}
+		*w = statusHeard{d.Token, d.Seq, now, since, true}
 	}
-	for _, zone := range d.Lit {
-		f.lit[zone] = now
+	for _, zone := range d.ReachableZones {
+		f.reachable[zone] = now
 	}
-	// A word whose answer is lost is followed by a full one, which asks for
+	// A message whose answer is lost is followed by a full one, which asks for
 	// these anew.
-	r.Returned, f.news[d.Block] = f.news[d.Block], nil
+	r.Returned, f.unreported[d.Block] = f.unreported[d.Block], nil
 	var there map[string]bool
 	if d.Full {
 		there = make(map[string]bool, len(d.Hosts))
--- a/internal/intake/desk.go
+++ b/internal/intake/api.go
@@ -15,8 +15,8 @@
 	"lemonmoor/internal/tuning"
 )
 
-// Desk answers users.
-type Desk struct {
+// API answers users.
+type API struct {
 	// Progress tells how many tasks of a job are done and running, for
 	// display.
 	Progress func(id string) (done, running int)
@@ -55,9 +55,9 @@
 	late []httpwire.Reply
 }
 
-// NewDesk returns a desk.
-func NewDesk(rt engine.Runtime, led *ledger.Client, cat *Catalog, set *settings.Settings, log *slog.Logger) *Desk {
-	return &Desk{rt: rt, led: led, cat: cat, set: set, log: log, most: led.Ops(), pending: map[string]*creation{},
+// NewAPI returns the user API.
+func NewAPI(rt engine.Runtime, led *ledger.Client, cat *Catalog, set *settings.Settings, log *slog.Logger) *API {
+	return &API{rt: rt, led: led, cat: cat, set: set, log: log, most: led.Ops(), pending: map[string]*creation{},
 		Progress: func(string) (int, int) { return 0, 0 }, Running: func(string) int { return 0 }}
 }
 
@@ -73,7 +73,7 @@
 	Running int    `json:"running"`
 }
 
-func (d *Desk) tell(reply httpwire.Reply, e *Entry) {
+func (d *API) tell(reply httpwire.Reply, e *Entry) {
 	s := status{ID: e.ID, Phase: e.Phase}
 	switch e.Phase {
 	case Done:
@@ -98,7 +98,7 @@
 }
 
 // Submit serves POST /work.
-func (d *Desk) Submit(body []byte, reply httpwire.Reply) {
+func (d *API) Submit(body []byte, reply httpwire.Reply) {
 	job, err := jobs.Parse(body)
 	if err != nil {
 		reply(400, httpwire.ErrorBody(err.Error()), 0)
@@ -161,7 +161,7 @@
 
 // flush commits waiting submissions, several at a time. While an answer is slow,
 // others do not wait behind it.
-func (d *Desk) flush() {
+func (d *API) flush() {
 	if d.resting || d.flights >= tuning.CommitsAhead || len(d.queue) == 0 {
 		return
 	}
@@ -283,14 +283,14 @@
 
 // rate is this node's part of the changes a second for submissions while changes are
 // scarce: decisions come first.
-func (d *Desk) rate() float64 {
+func (d *API) rate() float64 {
 	state := &d.set.Deployment.State
 	return max(0.5, state.WriteRPS*tuning.SubmitShare*d.led.Rate()/float64(len(d.set.Seeds)+1))
 }
 
 // finish answers all who wait for a submission; late is for those who asked after
 // it was sent.
-func (d *Desk) finish(c *creation, fn, late func(httpwire.Reply)) {
+func (d *API) finish(c *creation, fn, late func(httpwire.Reply)) {
 	delete(d.pending, c.id)
 	for _, reply := range c.replies {
 		fn(reply)
@@ -301,7 +301,7 @@
 }
 
 // Poll serves GET /work/{id}.
-func (d *Desk) Poll(id string, reply httpwire.Reply) {
+func (d *API) Poll(id string, reply httpwire.Reply) {
 	d.cat.Check(func(err error) {
 		if err != nil {
 			refuse(reply, "state service not reached")
@@ -319,9 +319,9 @@
 }
 
 // Cancel serves POST /work/{id}/cancel.
-func (d *Desk) Cancel(id string, reply httpwire.Reply) { d.cancel(id, reply, 0) }
+func (d *API) Cancel(id string, reply httpwire.Reply) { d.cancel(id, reply, 0) }
 
-func (d *Desk) cancel(id string, reply httpwire.Reply, try int) {
+func (d *API) cancel(id string, reply httpwire.Reply, try int) {
 	if try > 6 {
 		refuse(reply, "state service not reached")
 		return
@@ -372,7 +372,7 @@
 
 // Route sorts a user's request; it reports false for paths that are not the
 // users'.
-func (d *Desk) Route(req *httpwire.Request, reply httpwire.Reply) bool {
+func (d *API) Route(req *httpwire.Request, reply httpwire.Reply) bool {
 	if req.Path == "/work" {
 		if req.Method != "POST" {
 			reply(405, httpwire.ErrorBody("method not allowed"), 0)
--- a/internal/lead/batch.go
+++ b/internal/lead/batch.go
@@ -10,7 +10,7 @@
 
 // batch is what one hand-out gives to a block of one job.
 type batch struct {
-	plan    *plan
+	plan    *jobState
 	block   int
 	tasks   []int
 	retried int
@@ -22,7 +22,7 @@
 }
 
 // give puts a job's next task into a batch.
-func (l *Leader) give(batches []*batch, p *plan, block int, u *usage) []*batch {
+func (l *Leader) give(batches []*batch, p *jobState, block int, u *usage) []*batch {
 	i := p.first()
 	retried := 0
 	if len(p.back) > 0 {
@@ -44,7 +44,7 @@
 	}
 	for k := len(batches) - 1; k >= 0 && batches[k].plan == p; k-- {
 		if b := batches[k]; b.block == block && len(b.tasks) < tuning.ChunkTasks && b.retried+retried <= tuning.RetriedTasks &&
-			b.bytes+cost(b) <= l.led.ValueBytes()-tuning.RecordBytes {
+			b.bytes+cost(b) <= l.state.ValueBytes()-tuning.RecordBytes {
 			b.bytes += cost(b)
 			b.tasks = append(b.tasks, i)
 			b.retried += retried
@@ -67,7 +67,7 @@
 		u.cpus -= float64(len(b.tasks)) * b.plan.desc.CPUs
 		u.cards -= float64(len(b.tasks)) * b.plan.desc.Cards
 	}
-	most := min(l.led.Ops(), max(1, int(l.set.Deployment.State.WriteRPS*tuning.WriteShare*l.led.Rate())))
+	most := min(l.state.Ops(), max(1, int(l.set.Deployment.State.WriteRPS*tuning.WriteShare*l.state.Rate())))
 	if len(batches) > most {
 		l.fleet.Stalled()
 		for _, b := range batches[most:] {
--- a/internal/lead/board.go
+++ b/internal/lead/board.go
@@ -17,9 +17,9 @@
 	keptCPUs, keptCards, keptMemory float64
 }
 
-// rack is the machines of one kind in one block, up or booting: whether a job
+// machineGroup is the machines of one kind in one block, up or booting: whether a job
 // may use them is asked once for all of them.
-type rack struct {
+type machineGroup struct {
 	kind    *fleet.Room
 	block   int
 	booting bool
@@ -27,23 +27,23 @@
 	sorted  bool
 }
 
-// board is the machines' room as one hand-out sees it.
-type board struct {
-	racks  []*rack
+// roomView is the machines' room as one hand-out sees it.
+type roomView struct {
+	racks  []*machineGroup
 	cpus   []float64 // of all machines, by block
 	queued []float64 // of tasks that wait in the blocks' queues
 	number int       // of machines
 }
 
-func (l *Leader) board() *board {
+func (l *Leader) viewRooms() *roomView {
 	blocks := l.set.Blocks()
-	b := &board{cpus: make([]float64, blocks), queued: make([]float64, blocks)}
+	b := &roomView{cpus: make([]float64, blocks), queued: make([]float64, blocks)}
 	type which struct {
 		kind    fleet.Kind
 		block   int
 		booting bool
 	}
-	index := map[which]*rack{}
+	index := map[which]*machineGroup{}
 	now := l.rt.Now()
 	l.fleet.Rooms(func(r *fleet.Room) {
 		b.number++
@@ -52,7 +52,7 @@
 		s := index[w]
 		if s == nil {
 			kind := *r
-			s = &rack{kind: &kind, block: r.Block, booting: r.Booting}
+			s = &machineGroup{kind: &kind, block: r.Block, booting: r.Booting}
 			index[w] = s
 			b.racks = append(b.racks, s)
 		}
@@ -110,7 +110,7 @@
 
 // take gives up to n tasks of a job room on the machines of a block (-1: of
 // any), and calls fn with how many each block took.
-func (b *board) take(p *plan, zone string, block int, booting bool, n int, fn func(block, n int)) int {
+func (b *roomView) take(p *jobState, zone string, block int, booting bool, n int, fn func(block, n int)) int {
 	taken := 0
 	for _, s := range b.racks {
 		if taken == n {
@@ -158,7 +158,7 @@
 }
 
 // order lists the blocks: home first, then those with the most room.
-func (b *board) order(home int) []int {
+func (b *roomView) order(home int) []int {
 	list := make([]int, len(b.cpus))
 	free := make([]float64, len(b.cpus))
 	for block := range list {
@@ -181,7 +181,7 @@
 }
 
 // serves tells which blocks have a machine that may run a job's tasks.
-func (b *board) serves(p *plan, zone string) []bool {
+func (b *roomView) serves(p *jobState, zone string) []bool {
 	list := make([]bool, len(b.cpus))
 	for _, s := range b.racks {
 		if !list[s.block] && s.kind.Could(p.desc, zone) {
@@ -193,7 +193,7 @@
 
 // shortest finds the block in whose queues a task should wait: home, else the
 // one with the shortest for its size; -1 if the queues are long enough.
-func (b *board) shortest(p *plan, zone string, home int) int {
+func (b *roomView) shortest(p *jobState, zone string, home int) int {
 	best, least := -1, 0.0
 	for block, ok := range b.serves(p, zone) {
 		if !ok || (b.queued[block] > 0 && b.queued[block]+p.desc.CPUs > tuning.Ahead*b.cpus[block]) {
--- a/internal/lead/ends.go
+++ b/internal/lead/ends.go
@@ -11,7 +11,7 @@
 )
 
 // over queues a job's end once nothing of it is left to run.
-func (l *Leader) over(p *plan) {
+func (l *Leader) over(p *jobState) {
 	if p.ending {
 		return
 	}
@@ -32,8 +32,8 @@
 func (l *Leader) end() bool {
 	var guards []ledger.Guard
 	var apply []ledger.Change
-	var ended []*plan
-	most := l.led.Ops()
+	var ended []*jobState
+	most := l.state.Ops()
 	rest := l.ends[:0:0]
 	for n, p := range l.ends {
 		if l.plans[p.e.ID] != p {
@@ -89,7 +89,7 @@
 }
 
 // recheck looks at a job again when the copies are proven to be current.
-func (l *Leader) recheck(p *plan) {
+func (l *Leader) recheck(p *jobState) {
 	term := l.term
 	l.store.Check(func(error) {
 		l.cat.Check(func(error) {
@@ -107,7 +107,7 @@
 // removal of its records, as many as a commit takes. The tasks of a job are
 // counted once more, each by its number: a job is never called done before all of
 // its tasks are.
-func (l *Leader) finish(p *plan, most int) (guards []ledger.Guard, apply []ledger.Change) {
+func (l *Leader) finish(p *jobState, most int) (guards []ledger.Guard, apply []ledger.Change) {
 	id := p.e.ID
 	records := l.store.OfJob(id)
 	for _, v := range l.pending {
@@ -161,7 +161,7 @@
 	l.swept = now
 	var apply []ledger.Change
 	state := &l.set.Deployment.State
-	most := min(l.led.Ops(), max(1, int(state.WriteRPS*l.led.Rate()*tuning.SweepShare*tuning.SweepEvery.Seconds())))
+	most := min(l.state.Ops(), max(1, int(state.WriteRPS*l.state.Rate()*tuning.SweepShare*tuning.SweepEvery.Seconds())))
 	for len(l.stale) > 0 && len(apply) < most {
 		key := l.stale[0]
 		l.stale = l.stale[1:]
--- a/internal/lead/handout.go
+++ b/internal/lead/handout.go
@@ -12,7 +12,7 @@
 )
 
 // home is the block where most machines cache a job's image.
-func (l *Leader) home(p *plan) int {
+func (l *Leader) home(p *jobState) int {
 	best := -1
 	for block, n := range l.images[p.desc.Image] {
 		if n > 0 && (best < 0 || n > l.images[p.desc.Image][best]) {
@@ -47,16 +47,16 @@
 	for i, p := range l.order {
 		p.place = i
 	}
-	board := l.board()
+	board := l.viewRooms()
 	l.pause = tuning.RoundPause + time.Duration(board.number)*tuning.RoundPerMachine
 	var unmet []fleet.Need
 	clear(l.recalls)
-	need := func(p *plan, zone string, n int) {
+	need := func(p *jobState, zone string, n int) {
 		if n > 0 {
 			unmet = append(unmet, fleet.Need{Desc: p.desc, Zone: zone, Number: n, Rank: p.place, Aims: l.openAims(p, now)})
 		}
 	}
-	held := func(p *plan, n int) {
+	held := func(p *jobState, n int) {
 		if n > 0 {
 			unmet = append(unmet, fleet.Need{Desc: p.desc, Behind: n})
 		}
@@ -135,7 +135,7 @@
 			}
 		}
 	}
-	var most *plan // of those that could run on spot machines
+	var most *jobState // of those that could run on spot machines
 	for _, p := range l.order {
 		if !p.cancelled && movable(p.desc) && p.placed > 0 &&
 			(most == nil || float64(p.placed)*p.desc.CPUs > float64(most.placed)*most.desc.CPUs) {
@@ -182,7 +182,7 @@
 
 // openAims is how many seconds a job's tasks can still wait for a machine for each
 // of the users' aims that is not missed yet.
-func (l *Leader) openAims(p *plan, nowMS int64) []float64 {
+func (l *Leader) openAims(p *jobState, nowMS int64) []float64 {
 	age := float64(nowMS-p.e.At) / 1000
 	var open []float64
 	l.set.Aims(p.desc.Class, p.desc.EstimateS, p.desc.DeadlineS, func(latest float64) {
@@ -195,7 +195,7 @@
 
 // place finds blocks for up to n tasks of a job: where there is room, at home
 // first, then where machines boot, then in the queues while those are short.
-func (l *Leader) place(b *board, p *plan, u *usage, n int, batches []*batch, need func(*plan, string, int)) []*batch {
+func (l *Leader) place(b *roomView, p *jobState, u *usage, n int, batches []*batch, need func(*jobState, string, int)) []*batch {
 	home := l.home(p)
 	give := func(block, k int) {
 		for range k {
--- a/internal/lead/leader.go
+++ b/internal/lead/leader.go
@@ -23,8 +23,8 @@
 // Leader hands out work while this process holds the lead.
 type Leader struct {
 	rt     engine.Runtime
-	led    *ledger.Client
-	office *ledger.Office
+	state  *ledger.Client
+	leases *ledger.LeaseManager
 	cat    *intake.Catalog
 	store  *work.Store
 	fleet  *fleet.Fleet
@@ -34,13 +34,13 @@
 	term     int // grows with every lead won; late answers of old ones are dropped
 	token    uint64
 	loaded   bool
-	plans    map[string]*plan
-	order    []*plan
+	plans    map[string]*jobState
+	order    []*jobState
 	resort   bool
 	usage    map[string]*usage
 	loads    map[string]*load
 	pending  map[string]*work.Record // handed out, not seen in the store yet
-	ends     []*plan
+	ends     []*jobState
 	stale    []string // records to remove
 	swept    time.Duration
 	flying   bool
@@ -57,9 +57,9 @@
 }
 
 // New returns a leader without the lead.
-func New(rt engine.Runtime, led *ledger.Client, office *ledger.Office, cat *intake.Catalog, store *work.Store,
+func New(rt engine.Runtime, led *ledger.Client, office *ledger.LeaseManager, cat *intake.Catalog, store *work.Store,
 	fl *fleet.Fleet, set *settings.Settings, log *slog.Logger) *Leader {
-	l := &Leader{rt: rt, led: led, office: office, cat: cat, store: store, fleet: fl, set: set, log: log}
+	l := &Leader{rt: rt, state: led, leases: office, cat: cat, store: store, fleet: fl, set: set, log: log}
 	l.End()
 	fl.LoadOf = func(host string) fleet.Load {
 		if h := l.loads[host]; h != nil {
@@ -74,7 +74,7 @@
 func (l *Leader) End() {
 	l.term++
 	l.token, l.loaded, l.flying, l.timed = 0, false, false, false
-	l.plans, l.order, l.ends, l.stale = map[string]*plan{}, nil, nil, nil
+	l.plans, l.order, l.ends, l.stale = map[string]*jobState{}, nil, nil, nil
 	l.usage, l.loads = map[string]*usage{}, map[string]*load{}
 	l.pending, l.recalls = map[string]*work.Record{}, map[int]map[string]int{}
 	l.images, l.caches, l.expected = map[string][]int{}, map[string]*cache{}, map[string]*expected{}
@@ -96,7 +96,7 @@
 
 func (l *Leader) read(term, try int) {
 	retry := func() {
-		l.rt.After(l.led.Backoff(try), func() {
+		l.rt.After(l.state.Backoff(try), func() {
 			if term == l.term {
 				l.read(term, try+1)
 			}
@@ -160,7 +160,7 @@
 }
 
 // givenBack finds the tasks of a job that its newest records give back.
-func (l *Leader) givenBack(p *plan) {
+func (l *Leader) givenBack(p *jobState) {
 	records := make([]*work.Record, 0, 4)
 	for _, r := range l.store.OfJob(p.e.ID) {
 		records = append(records, r)
@@ -182,17 +182,17 @@
 	slices.Sort(p.back)
 }
 
-func (l *Leader) add(e *intake.Entry) *plan {
-	p := &plan{e: e, desc: e.Job, rank: jobs.NewRank(e.Job, e.At, l.cat.Within(e)), attempts: map[int]uint64{}, waiting: make([]int, l.set.Blocks())}
+func (l *Leader) add(e *intake.Entry) *jobState {
+	p := &jobState{e: e, desc: e.Job, rank: jobs.NewRank(e.Job, e.At, l.cat.Within(e)), attempts: map[int]uint64{}, waiting: make([]int, l.set.Blocks())}
 	l.plans[e.ID] = p
 	l.order = append(l.order, p)
 	l.resort = true
 	return p
 }
 
-func (l *Leader) forget(p *plan) {
+func (l *Leader) forget(p *jobState) {
 	delete(l.plans, p.e.ID)
-	l.order = slices.DeleteFunc(l.order, func(o *plan) bool { return o == p })
+	l.order = slices.DeleteFunc(l.order, func(o *jobState) bool { return o == p })
 }
 
 // JobChanged takes note of a new or ended job.
@@ -280,7 +280,7 @@
 
 // Settle hands out and commits what is due.
 func (l *Leader) Settle() {
-	if !l.loaded || !l.office.Valid() || l.flying || (!l.wanted && len(l.ends) == 0 && len(l.stale) == 0) {
+	if !l.loaded || !l.leases.Valid() || l.flying || (!l.wanted && len(l.ends) == 0 && len(l.stale) == 0) {
 		return
 	}
 	if l.end() {
@@ -314,7 +314,7 @@
 	term := l.term
 	guards = append([]ledger.Guard{{Key: ledger.LeadKey, Stamp: l.token}}, guards...)
 	l.flying = true
-	l.led.Commit(guards, apply, func(r ledger.Result) {
+	l.state.Commit(guards, apply, func(r ledger.Result) {
 		if term != l.term {
 			return
 		}
@@ -322,7 +322,7 @@
 		if r.Outcome == ledger.Conflict && slices.Contains(r.Failed, ledger.LeadKey) {
 			// The watch will say who leads; until then nothing more is sent.
 			l.flying = true
-			l.office.Verify(func() {
+			l.leases.Verify(func() {
 				if term == l.term {
 					l.Begin(l.token)
 				}
@@ -338,7 +338,7 @@
 func (l *Leader) later(try int, fn func()) {
 	term := l.term
 	l.flying = true
-	l.rt.After(l.led.Backoff(try), func() {
+	l.rt.After(l.state.Backoff(try), func() {
 		if term == l.term {
 			l.flying = false
 			fn()
--- a/internal/lead/plan.go
+++ b/internal/lead/plan.go
@@ -7,8 +7,8 @@
 	"lemonmoor/internal/jobs"
 )
 
-// plan is a job as the leader sees it.
-type plan struct {
+// jobState is a job as the leader sees it.
+type jobState struct {
 	e         *intake.Entry
 	desc      *jobs.Description
 	rank      jobs.Rank
@@ -30,10 +30,10 @@
 }
 
 // left tells how many tasks are not handed out.
-func (p *plan) left() int { return len(p.back) + p.desc.Tasks - p.next }
+func (p *jobState) left() int { return len(p.back) + p.desc.Tasks - p.next }
 
 // nth is the task k places behind the next to hand out.
-func (p *plan) nth(k int) int {
+func (p *jobState) nth(k int) int {
 	if k < len(p.back) {
 		return p.back[k]
 	}
@@ -41,7 +41,7 @@
 }
 
 // first is the next task to hand out.
-func (p *plan) first() int {
+func (p *jobState) first() int {
 	if len(p.back) > 0 {
 		return p.back[0]
 	}
@@ -49,7 +49,7 @@
 }
 
 // before orders plans as the owners order jobs.
-func before(a, b *plan) bool {
+func before(a, b *jobState) bool {
 	if a.starved != b.starved {
 		return a.starved
 	}
--- a/internal/lead/queues.go
+++ b/internal/lead/queues.go
@@ -6,7 +6,7 @@
 
 // recallFor asks a block to give waiting tasks back when others have open
 // machines with room for them.
-func (l *Leader) recallFor(b *board, p *plan, q queue, n int) int {
+func (l *Leader) recallFor(b *roomView, p *jobState, q queue, n int) int {
 	if len(b.cpus) == 1 {
 		return 0
 	}
@@ -33,7 +33,7 @@
 }
 
 // queues tells where tasks of a job wait.
-func (l *Leader) queues(p *plan) []queue {
+func (l *Leader) queues(p *jobState) []queue {
 	var list []queue
 	if len(p.zones) <= 1 {
 		for block, n := range p.waiting {
--- a/internal/lead/usage.go
+++ b/internal/lead/usage.go
@@ -38,14 +38,14 @@
 }
 
 // count adds a record's tasks to the sums, or takes them off.
-func (l *Leader) count(p *plan, r *work.Record, sign int) {
+func (l *Leader) count(p *jobState, r *work.Record, sign int) {
 	for _, m := range r.Marks {
 		l.mark(p, r.Block, m, sign)
 	}
 }
 
 // mark adds a task to the sums, or takes it off.
-func (l *Leader) mark(p *plan, block int, m work.Mark, sign int) {
+func (l *Leader) mark(p *jobState, block int, m work.Mark, sign int) {
 	switch m.State {
 	case work.Returned:
 		return
--- a/internal/ledger/office.go
+++ b/internal/ledger/leases.go
@@ -37,11 +37,11 @@
 
 func (h holder) is(node string, nonce uint64) bool { return h.Node == node && h.Nonce == nonce }
 
-// Office runs for the lead and holds leases. A lease key is set when it is
+// LeaseManager runs for the lead and holds leases. A lease key is set when it is
 // given or when a new token is wanted, never to renew it, so its stamp is the
 // token; renewal touches the node's one grant. What this process holds it
 // learns from the watch alone, so that it sees all changes in their order.
-type Office struct {
+type LeaseManager struct {
 	// LeadWon and LeadLost tell of the lead.
 	LeadWon  func(token uint64)
 	LeadLost func()
@@ -77,9 +77,9 @@
 	settled time.Duration         // last change of the blocks' owners
 }
 
-// NewOffice returns an office for a node; nonce differs for every process.
-func NewOffice(rt engine.Runtime, led *Client, log *slog.Logger, node string, nonce uint64, rank, blocks int) *Office {
-	o := &Office{rt: rt, led: led, log: log, node: node, nonce: nonce, rank: rank, blocks: blocks,
+// NewLeaseManager returns the lease manager of a node; nonce differs for every process.
+func NewLeaseManager(rt engine.Runtime, led *Client, log *slog.Logger, node string, nonce uint64, rank, blocks int) *LeaseManager {
+	o := &LeaseManager{rt: rt, led: led, log: log, node: node, nonce: nonce, rank: rank, blocks: blocks,
 		stamps: map[string]uint64{}, holders: map[string]holder{},
 		held: map[int]uint64{}, busy: map[string]bool{}, waived: map[int]uint64{}, before: map[int]time.Duration{}}
 	o.row = NewMirror(rt, led, leasePrefix)
@@ -100,13 +100,13 @@
 }
 
 // Start begins to run for the lead.
-func (o *Office) Start() {
+func (o *LeaseManager) Start() {
 	o.row.Start()
 	o.renew()
 	o.tick()
 }
 
-func (o *Office) tick() {
+func (o *LeaseManager) tick() {
 	if o.row.IsReady() {
 		o.look()
 	}
@@ -114,24 +114,24 @@
 }
 
 // Lead is the token of the lead, 0 when it is not held.
-func (o *Office) Lead() uint64 { return o.lead }
+func (o *LeaseManager) Lead() uint64 { return o.lead }
 
 // Block is the token of a block, 0 when it is not held.
-func (o *Office) Block(block int) uint64 { return o.held[block] }
+func (o *LeaseManager) Block(block int) uint64 { return o.held[block] }
 
 // Leader names the node that was last seen to hold the lead.
-func (o *Office) Leader() string { return o.holders[LeadKey].Node }
+func (o *LeaseManager) Leader() string { return o.holders[LeadKey].Node }
 
 // Owner names the node that was last seen to hold a block.
-func (o *Office) Owner(block int) string { return o.holders[BlockKey(block)].Node }
+func (o *LeaseManager) Owner(block int) string { return o.holders[BlockKey(block)].Node }
 
 // Valid tells whether what is held is surely held now.
-func (o *Office) Valid() bool { return o.permit != 0 && o.rt.Now() < o.valid }
+func (o *LeaseManager) Valid() bool { return o.permit != 0 && o.rt.Now() < o.valid }
 
 // answered notes that a block's holder has changed by now. The one before goes on
 // answering for the hold if its lease has run out; if the block was taken from it
 // while it held it, until its copy of the leases is too old, see AnswersUntil.
-func (o *Office) answered(block int, taken bool) {
+func (o *LeaseManager) answered(block int, taken bool) {
 	until := o.rt.Now() + o.Hold
 	if taken {
 		until += tuning.LeaseTTL
@@ -141,13 +141,13 @@
 
 // AnsweredBefore is the moment after which no earlier owner of a block answers a
 // worker any more. The holder's own renewals do not move it.
-func (o *Office) AnsweredBefore(block int) time.Duration { return o.before[block] }
+func (o *LeaseManager) AnsweredBefore(block int) time.Duration { return o.before[block] }
 
 // AnswersUntil is how long an owner may answer workers under what it holds: for a
 // hold past its lease, so that a short outage ends no task, but no longer than its
 // copy of the leases is young enough. The grant's renewal alone proves too little:
 // a block may be another's while this process's watch tells it nothing.
-func (o *Office) AnswersUntil() time.Duration {
+func (o *LeaseManager) AnswersUntil() time.Duration {
 	proven, known := o.row.Proven()
 	if !known {
 		return 0
@@ -156,9 +156,9 @@
 }
 
 // Prove has the copy of the leases shown to be current if that was long ago.
-func (o *Office) Prove() { o.row.Prove(tuning.ProveEvery) }
+func (o *LeaseManager) Prove() { o.row.Prove(tuning.ProveEvery) }
 
-func (o *Office) apply(key string, value json.RawMessage, stamp uint64) {
+func (o *LeaseManager) apply(key string, value json.RawMessage, stamp uint64) {
 	block, isBlock := -1, false
 	if number, ok := strings.CutPrefix(key, blockPrefix); ok {
 		o.settled = o.rt.Now()
@@ -185,7 +185,7 @@
 }
 
 // look compares the lease keys with what this process believes.
-func (o *Office) look() {
+func (o *LeaseManager) look() {
 	mine := func(key string) uint64 {
 		if o.permit != 0 && o.holders[key].is(o.node, o.nonce) {
 			return o.stamps[key]
@@ -244,7 +244,7 @@
 
 // commit sends lease changes, one at a time for a purpose; the watch shows
 // what came of them. Repeats do no harm: the guards fail.
-func (o *Office) commit(purpose string, guards []Guard, apply []Change) {
+func (o *LeaseManager) commit(purpose string, guards []Guard, apply []Change) {
 	o.busy[purpose] = true
 	permit := o.permit
 	o.led.Commit(guards, apply, func(r Result) {
@@ -262,7 +262,7 @@
 	})
 }
 
-func (o *Office) value(h holder) json.RawMessage {
+func (o *LeaseManager) value(h holder) json.RawMessage {
 	raw, err := json.Marshal(h)
 	if err != nil {
 		o.log.Error("lease value does not encode", "err", err)
@@ -272,7 +272,7 @@
 }
 
 // enrol keeps the node's own entry current.
-func (o *Office) enrol() {
+func (o *LeaseManager) enrol() {
 	key := nodePrefix + o.node
 	want := holder{o.node, o.nonce, o.permit, o.rt.Now() < o.unfit}
 	if o.holders[key] == want || o.busy["enrol"] {
@@ -283,7 +283,7 @@
 
 // run tries for the lead if it is free, or held by an earlier process of this
 // node.
-func (o *Office) run() {
+func (o *LeaseManager) run() {
 	h, taken := o.holders[LeadKey]
 	if (taken && (h.Node != o.node || h.Nonce == o.nonce)) || o.busy["lead"] {
 		return
@@ -303,7 +303,7 @@
 
 // retake takes back the blocks of an earlier process of this node: it is dead,
 // and under the new token nothing of it counts.
-func (o *Office) retake() {
+func (o *LeaseManager) retake() {
 	if o.rt.Now() < o.unfit || o.busy["retake"] {
 		return
 	}
@@ -323,7 +323,7 @@
 
 // assign leases the blocks that nobody holds, and now and then moves one from
 // a controller with many to one with few.
-func (o *Office) assign() {
+func (o *LeaseManager) assign() {
 	if o.busy["assign"] || o.rt.Now() < o.leadAt+tuning.FirstAssign {
 		return
 	}
@@ -390,7 +390,7 @@
 
 // Renew asks for a new token of a block held: what was ordered under the old
 // one is void wherever the new one has been seen, and late commits fail.
-func (o *Office) Renew(block int) {
+func (o *LeaseManager) Renew(block int) {
 	purpose := "renew" + strconv.Itoa(block)
 	token := o.held[block]
 	if token == 0 || o.busy[purpose] {
@@ -402,19 +402,19 @@
 }
 
 // Verify looks at the leases at once: a guard on one of them has failed.
-func (o *Office) Verify(fn func()) {
+func (o *LeaseManager) Verify(fn func()) {
 	o.row.Check(func(error) { fn() })
 }
 
 // Waived tells whether nothing may be answered any more under a block's token: it
 // is being given up, and the next owner may begin before this process hears of it.
-func (o *Office) Waived(block int) bool {
+func (o *LeaseManager) Waived(block int) bool {
 	return o.held[block] != 0 && o.waived[block] == o.held[block]
 }
 
 // GiveUp returns all blocks and takes none for a while: no worker reaches this
 // node.
-func (o *Office) GiveUp() {
+func (o *LeaseManager) GiveUp() {
 	if len(o.held) == 0 || o.busy["give up"] {
 		return
 	}
@@ -427,7 +427,7 @@
 }
 
 // release commits that the blocks given up are free.
-func (o *Office) release() {
+func (o *LeaseManager) release() {
 	if o.busy["give up"] {
 		return
 	}
@@ -451,7 +451,7 @@
 
 // renew keeps the grant alive, or asks for one. Validity counts from before
 // the request.
-func (o *Office) renew() {
+func (o *LeaseManager) renew() {
 	again := func(d time.Duration) { o.rt.After(d, o.renew) }
 	until := o.rt.Now() + tuning.LeaseTTL - tuning.LeaseTTL*tuning.DriftPerMille/1000 - tuning.LeaseMargin
 	if o.permit == 0 {
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -87,12 +87,12 @@
 			if most -= float64(x.tasks) * x.desc.CPUs; most < 0 {
 				return
 			}
-			var best []*agents.Host
+			var best []*agents.Worker
 			for _, zone := range zones {
 				for _, t := range x.like {
 					t.Zone = zone
 				}
-				hosts := p.fit(r.free, x.like, func(*agents.Host) bool { return true }, unkept)
+				hosts := p.fit(r.free, x.like, func(*agents.Worker) bool { return true }, unkept)
 				if hosts != nil && (best == nil || nearness(hosts[0], x.desc.Image) < nearness(best[0], x.desc.Image)) {
 					best = hosts
 				}
@@ -107,7 +107,7 @@
 }
 
 // unkept tells how many tasks a machine has room for that is not kept.
-func unkept(t *work.Task, h *agents.Host) int {
+func unkept(t *work.Task, h *agents.Worker) int {
 	cpus, cards, memory := h.Free()
 	return number(t, cpus-h.KeptCPUs, cards-h.KeptCards, memory-h.KeptMemory)
 }
@@ -141,12 +141,12 @@
 		if g.tasks == nil || g.job.Desc.Priority() != prio {
 			continue
 		}
-		p.seat(r, g, func(h *agents.Host) bool { return r.kept[h] <= prio })
+		p.seat(r, g, func(h *agents.Worker) bool { return r.kept[h] <= prio })
 	}
 }
 
 // seat places a gang on machines with room, all of it or nothing.
-func (p *Planner) seat(r *round, g *gang, usable func(*agents.Host) bool) bool {
+func (p *Planner) seat(r *round, g *gang, usable func(*agents.Worker) bool) bool {
 	hosts := p.fit(r.free, g.tasks, usable, space)
 	if hosts == nil {
 		return false
@@ -159,13 +159,13 @@
 }
 
 // space tells how many tasks of a job a machine has room for.
-func space(t *work.Task, h *agents.Host) int {
+func space(t *work.Task, h *agents.Worker) int {
 	cpus, cards, memory := h.Free()
 	return number(t, cpus, cards, memory)
 }
 
 // whole is the same for the machine if it were empty.
-func whole(t *work.Task, h *agents.Host) int {
+func whole(t *work.Task, h *agents.Worker) int {
 	if h.Type == nil {
 		return 0
 	}
@@ -184,7 +184,7 @@
 }
 
 // barred tells whether a task may not go to a machine.
-func barred(t *work.Task, h *agents.Host) bool {
+func barred(t *work.Task, h *agents.Worker) bool {
 	return t.Avoid == h.ID || slices.Contains(t.Tried, h.ID) || !Allowed(t, h)
 }
 
@@ -192,13 +192,13 @@
 // first, of those the one that just takes all that are left, else the one that
 // takes the most. Tasks on few machines have like speeds, and a gang runs at that
 // of its slowest machine.
-func (p *Planner) fit(hosts []*agents.Host, tasks []*work.Task, usable func(*agents.Host) bool, room func(*work.Task, *agents.Host) int) []*agents.Host {
+func (p *Planner) fit(hosts []*agents.Worker, tasks []*work.Task, usable func(*agents.Worker) bool, room func(*work.Task, *agents.Worker) int) []*agents.Worker {
 	type seat struct {
-		host       *agents.Host
+		host       *agents.Worker
 		left, near int
 	}
 	image := tasks[0].Job.Desc.Image
-	found := make([]*agents.Host, len(tasks))
+	found := make([]*agents.Worker, len(tasks))
 	for _, todo := range byZone(tasks) {
 		var open []*seat
 		sum, picky := 0, false
@@ -271,13 +271,13 @@
 			continue
 		}
 		below := max(over, g.job.Desc.Priority()+1)
-		free := func(h *agents.Host) bool { _, taken := r.kept[h]; return !taken }
+		free := func(h *agents.Worker) bool { _, taken := r.kept[h]; return !taken }
 		if p.seat(r, g, free) {
 			continue
 		}
 		// Those where most is free come first: their turn is soonest.
 		open := slices.Clone(r.open)
-		slices.SortStableFunc(open, func(a, b *agents.Host) int {
+		slices.SortStableFunc(open, func(a, b *agents.Worker) int {
 			return cmp.Compare(space(g.tasks[0], b), space(g.tasks[0], a))
 		})
 		for _, h := range p.narrow(open, g.tasks, free) {
@@ -288,8 +288,8 @@
 
 // narrow finds machines that would hold all tasks if they were empty, in the
 // order given; none if there are not enough.
-func (p *Planner) narrow(hosts []*agents.Host, tasks []*work.Task, usable func(*agents.Host) bool) []*agents.Host {
-	var kept []*agents.Host
+func (p *Planner) narrow(hosts []*agents.Worker, tasks []*work.Task, usable func(*agents.Worker) bool) []*agents.Worker {
+	var kept []*agents.Worker
 	for zone, todo := range byZone(tasks) {
 		left := len(todo)
 		for _, h := range hosts {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -18,11 +18,11 @@
 // Planner holds the queues.
 type Planner struct {
 	// Open tells whether a machine may be given tasks.
-	Open func(*agents.Host) bool
+	Open func(*agents.Worker) bool
 	// Find finds a machine by its name.
-	Find func(id string) *agents.Host
+	Find func(id string) *agents.Worker
 	// Place gives a task to a machine.
-	Place func(*work.Task, *agents.Host)
+	Place func(*work.Task, *agents.Worker)
 	// Rerank brings a job's rank up to a time of day and tells whether it changed.
 	Rerank func(j *work.Job, wallMS int64) bool
 	// Prompt tells whether gangs of a class should find room at once.
@@ -78,7 +78,7 @@
 }
 
 // Allowed tells whether the job may use a machine at all.
-func Allowed(t *work.Task, h *agents.Host) bool {
+func Allowed(t *work.Task, h *agents.Worker) bool {
 	d := t.Job.Desc
 	return (d.Builds == nil || slices.Contains(d.Builds, h.Build)) &&
 		(d.Zone == "" || d.Zone == h.Zone) && (t.Zone == "" || t.Zone == h.Zone) &&
@@ -89,25 +89,25 @@
 
 // fits tells whether a machine may take a task now, without what is kept for
 // gangs to come.
-func fits(t *work.Task, h *agents.Host) bool {
+func fits(t *work.Task, h *agents.Worker) bool {
 	cpus, cards, memory := h.Free()
 	return holds(t, h, cpus-h.KeptCPUs, cards-h.KeptCards, memory-h.KeptMemory)
 }
 
 // fitsAtAll is the same with what is kept.
-func fitsAtAll(t *work.Task, h *agents.Host) bool {
+func fitsAtAll(t *work.Task, h *agents.Worker) bool {
 	cpus, cards, memory := h.Free()
 	return holds(t, h, cpus, cards, memory)
 }
 
-func holds(t *work.Task, h *agents.Host, cpus, cards, memory float64) bool {
+func holds(t *work.Task, h *agents.Worker, cpus, cards, memory float64) bool {
 	d := t.Job.Desc
 	return d.CPUs <= cpus+slack && d.Cards <= cards+slack && d.MemoryGB <= memory+slack &&
 		t.Avoid != h.ID && Allowed(t, h)
 }
 
 // could tells whether a machine could take a task if it were empty.
-func could(t *work.Task, h *agents.Host) bool {
+func could(t *work.Task, h *agents.Worker) bool {
 	return h.Type != nil && h.Type.Runs(t.Job.Desc) && t.Avoid != h.ID && Allowed(t, h)
 }
 
@@ -125,20 +125,20 @@
 // round is what one placement round works on.
 type round struct {
 	now  time.Duration
-	open []*agents.Host // machines that take tasks
-	free []*agents.Host // those with room, in the order in which arrays fill them
+	open []*agents.Worker // machines that take tasks
+	free []*agents.Worker // those with room, in the order in which arrays fill them
 	// forServices is the same machines in the order in which services fill them.
-	forServices []*agents.Host
+	forServices []*agents.Worker
 	// waiting is one task of each job in the queues, for a quick look at
 	// whether a machine has room for anything at all.
 	waiting []*work.Task
-	wall    int64                          // time of day, ms
-	kept    map[*agents.Host]jobs.Priority // below these, nothing is placed there
-	gangs   []gang                         // that want machines now, in the jobs' order
+	wall    int64                            // time of day, ms
+	kept    map[*agents.Worker]jobs.Priority // below these, nothing is placed there
+	gangs   []gang                           // that want machines now, in the jobs' order
 }
 
 // Round places what can be placed on the machines given.
-func (p *Planner) Round(hosts []*agents.Host, now time.Duration, wall time.Time) {
+func (p *Planner) Round(hosts []*agents.Worker, now time.Duration, wall time.Time) {
 	r := &round{now: now, wall: wall.UnixMilli()}
 	for _, h := range hosts {
 		if !p.Open(h) {
@@ -246,7 +246,7 @@
 }
 
 // pullOne starts one task of a priority on a machine.
-func (p *Planner) pullOne(h *agents.Host, prio jobs.Priority, now time.Duration) bool {
+func (p *Planner) pullOne(h *agents.Worker, prio jobs.Priority, now time.Duration) bool {
 	if i := first(p.queues[h.ID], h, prio, now); i >= 0 {
 		p.place(p.queues[h.ID][i], h)
 		return true
@@ -285,14 +285,14 @@
 	return true
 }
 
-func (p *Planner) place(t *work.Task, h *agents.Host) {
+func (p *Planner) place(t *work.Task, h *agents.Worker) {
 	t.Queued = false
 	p.Place(t, h)
 }
 
 // candidate tells whether a machine can start a queued task of a priority;
 // skip is a job whose plain tasks are known not to fit.
-func candidate(t *work.Task, h *agents.Host, prio jobs.Priority, now time.Duration, skip **work.Job) bool {
+func candidate(t *work.Task, h *agents.Worker, prio jobs.Priority, now time.Duration, skip **work.Job) bool {
 	if (t.Job == *skip && plain(t)) || !live(t) || t.Job.Desc.Priority() != prio || !due(t, now) {
 		return false
 	}
@@ -304,7 +304,7 @@
 }
 
 // first finds the first task of a queue that the machine can start.
-func first(q []*work.Task, h *agents.Host, prio jobs.Priority, now time.Duration) int {
+func first(q []*work.Task, h *agents.Worker, prio jobs.Priority, now time.Duration) int {
 	var skip *work.Job
 	for i, t := range q {
 		if candidate(t, h, prio, now, &skip) {
@@ -315,7 +315,7 @@
 }
 
 // last finds the last such task, if asked only one whose image is cached.
-func last(q []*work.Task, h *agents.Host, prio jobs.Priority, now time.Duration, cached bool) int {
+func last(q []*work.Task, h *agents.Worker, prio jobs.Priority, now time.Duration, cached bool) int {
 	var skip *work.Job
 	for i := len(q) - 1; i >= 0; i-- {
 		if cached && !h.Caches(q[i].Job.Desc.Image) {
@@ -339,10 +339,10 @@
 // machine where most is free from taking other work, so that its turn comes: of
 // its priority or below, or any if its job starves.
 func (p *Planner) overdue(r *round) {
-	r.kept = map[*agents.Host]jobs.Priority{}
+	r.kept = map[*agents.Worker]jobs.Priority{}
 	var skip *work.Job
 	serve := func(t *work.Task, over jobs.Priority) {
-		var best *agents.Host
+		var best *agents.Worker
 		for _, h := range r.orderFor(t) {
 			if _, taken := r.kept[h]; !taken && (fits(t, h) || (r.starved(t.Job) && fitsAtAll(t, h))) {
 				best = h
@@ -409,7 +409,7 @@
 
 // nearness ranks machines for a job: those that cache its image, those that
 // fetch nothing, and those where its image would share the rate with another.
-func nearness(h *agents.Host, image string) int {
+func nearness(h *agents.Worker, image string) int {
 	switch {
 	case h.Caches(image):
 		return 0
@@ -423,7 +423,7 @@
 func (p *Planner) spread(tasks []*work.Task, r *round) []*work.Task {
 	job := tasks[0].Job
 	// As it is now: a machine caches the image as soon as a task is placed there.
-	var nearest [3][]*agents.Host
+	var nearest [3][]*agents.Worker
 	for _, h := range r.orderFor(tasks[0]) {
 		if r.kept[h] <= job.Desc.Priority() {
 			near := nearness(h, job.Desc.Image)
@@ -443,7 +443,7 @@
 // replicas yet, so that the end of one machine does not take all of them. Only
 // machines that run replicas of services already are taken: no machine is kept, or
 // rented, for being apart.
-func (p *Planner) apart(tasks []*work.Task, hosts []*agents.Host) []*work.Task {
+func (p *Planner) apart(tasks []*work.Task, hosts []*agents.Worker) []*work.Task {
 	taken := map[string]bool{}
 	for _, t := range tasks[0].Job.Tasks {
 		if t.State == work.Placed {
@@ -463,7 +463,7 @@
 }
 
 // fill starts a job's tasks on the machines, one full after the other.
-func (p *Planner) fill(tasks []*work.Task, hosts []*agents.Host) []*work.Task {
+func (p *Planner) fill(tasks []*work.Task, hosts []*agents.Worker) []*work.Task {
 	for _, h := range hosts {
 		for len(tasks) > 0 && fits(tasks[0], h) {
 			p.Place(tasks[0], h)
@@ -480,7 +480,7 @@
 		t.Queued = true
 	}
 	image := tasks[0].Job.Desc.Image
-	var caching []*agents.Host
+	var caching []*agents.Worker
 	for _, h := range r.open {
 		if h.Caches(image) && could(tasks[0], h) {
 			caching = append(caching, h)
@@ -490,8 +490,8 @@
 		p.extra = insert(p.extra, tasks...)
 		return
 	}
-	length := func(h *agents.Host) int { return len(p.queues[h.ID]) }
-	slices.SortStableFunc(caching, func(a, b *agents.Host) int { return length(a) - length(b) })
+	length := func(h *agents.Worker) int { return len(p.queues[h.ID]) }
+	slices.SortStableFunc(caching, func(a, b *agents.Worker) int { return length(a) - length(b) })
 	for level := length(caching[0]); len(tasks) > 0; level++ {
 		for _, h := range caching {
 			if len(tasks) == 0 || length(h) > level {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -310,11 +310,11 @@
 	return time.Duration(intervals*float64(s.Report())) + tuning.DeafSlack
 }
 
-// Dark tells whether the silence of a whole zone with so many machines means
+// CutOff tells whether the silence of a whole zone with so many machines means
 // that it is cut off: many reports would have come in that time.
-func (s *Settings) Dark(machines int, silence time.Duration) bool {
-	return silence > tuning.DarkAfter &&
-		float64(machines)*float64(tuning.DarkAfter) >= tuning.DarkReports*float64(s.Report())
+func (s *Settings) CutOff(machines int, silence time.Duration) bool {
+	return silence > tuning.CutOffAfter &&
+		float64(machines)*float64(tuning.CutOffAfter) >= tuning.CutOffReports*float64(s.Report())
 }
 
 // WorkerLease is how long a worker goes on without an answer.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -202,12 +202,12 @@
 const (
 	// OrderTimeout is when a direct order counts as unanswered.
 	OrderTimeout = 2500 * time.Millisecond
-	// GreetAhead is the most machines that are told of a new token at a time,
+	// AnnounceAhead is the most machines that are told of a new token at a time,
 	// and GreetTimeout how long each is waited for. It learns the token with its
 	// next report in any case; a thousand silent ones are through in half a
 	// minute.
-	GreetAhead   = 64
-	GreetTimeout = 1500 * time.Millisecond
+	AnnounceAhead   = 64
+	AnnounceTimeout = 1500 * time.Millisecond
 	// OrdersPerMessage keeps an answer's line below 64 KiB.
 	OrdersPerMessage = 200
 	// SuspectReports is how many report intervals of silence keep new tasks
@@ -228,19 +228,19 @@
 	DeafLaunches = 2
 	// ProbeEvery is the time between two questions whether it hears again.
 	ProbeEvery = 3 * time.Second
-	// DarkAfter is how long nothing is heard of a zone that is cut off, and
+	// CutOffAfter is how long nothing is heard of a zone that is cut off, and
 	// DarkReports how many reports would have come from it in that time: with
 	// fewer machines silence may be chance. It is below DeadSlack, so that a zone
 	// counts as cut off before its first machine counts as dead.
-	DarkAfter   = 5 * time.Second
-	DarkReports = 12
-	// DarkKeep is how long a zone's machines are kept while it is cut off. They
+	CutOffAfter   = 5 * time.Second
+	CutOffReports = 12
+	// CutOffKeep is how long a zone's machines are kept while it is cut off. They
 	// are back at once when it is; machines rented in their place boot as long
 	// as most cuts last, and in the same zone never report.
-	DarkKeep = 90 * time.Second
-	// DarkSmall is the part of all machines up to which those of a zone that is
+	CutOffKeep = 90 * time.Second
+	// CutOffSmallShare is the part of all machines up to which those of a zone that is
 	// cut off are returned all the same when they may have urgent tasks.
-	DarkSmall = 0.35
+	CutOffSmallShare = 0.35
 	// RefusedPause keeps a task from a machine that refused it.
 	RefusedPause = 2 * time.Second
 	// ErrorPause is the first pause of a job that fails on machines that
@@ -410,11 +410,11 @@
 
 // Peers.
 const (
-	// DigestEvery is the time between two words of a block's owner to the
+	// StatusEvery is the time between two status messages of a block's owner to the
 	// leader.
-	DigestEvery = 1 * time.Second
-	// DigestStale is when the leader no longer trusts an owner's last word.
-	DigestStale = 4 * time.Second
+	StatusEvery = 1 * time.Second
+	// StatusStale is when the leader no longer trusts an owner's last status message.
+	StatusStale = 4 * time.Second
 	// RelayWithin: a worker sent to its owner that is back this soon could
 	// not reach it, and its reports are passed on instead.
 	RelayWithin = 8 * time.Second
--- a/internal/work/page.go
+++ b/internal/work/page.go
@@ -14,7 +14,7 @@
 // A page of a block's log tells what has become of tasks of any records of the
 // block since those pages before it. One page, one change of one key, takes as
 // many tasks as there are to tell of, so the changes a second do not grow with
-// the tasks a second. A page whose every word is superseded is written over.
+// the tasks a second. A page all of whose marks are superseded is written over.
 
 // entry is what a page says of the tasks of one record.
 type entry struct {
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -55,8 +55,8 @@
 	// any time until the worker has seen a higher token.
 	Doubt bool
 	// A report that does not list the task proves it gone only at MinToken
-	// or higher and, within the session Shift, after Tick.
-	MinToken, Shift, Tick uint64
+	// or higher and, within the session Session, after Sequence.
+	MinToken, Session, Sequence uint64
 	// Seen: listed in a report.
 	Seen     bool
 	Running  bool
