Review case 2: a huge array makes a sound machine lose all its tasks

Cause: nothing limits the tasks on a machine to what a report of 64 KiB can list. Larger reports get 413 from every controller, the machine counts as silent and is returned, or its lease ends, with all that runs on it. Case 1 kills the leader four times instead of three.

--- a/review/rig/case1.go
+++ b/review/rig/losttasks.go
@@ -17,8 +17,8 @@
 		initial    = 36  // pricefix jobs at the start of the site's days
 		rate       = 4.2 // jobs a second: the site's 1.07 times a job_burst of factor 4.0
 		waitLimit  = 90 * time.Second
-		crashEvery = 4 * time.Second
-		crashes    = 3
+		crashEvery = 3200 * time.Millisecond
+		crashes    = 4
 		backAfter  = 500 * time.Millisecond
 	)
 	d, types := ndiayeGrown()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(rec *record, root string, trouble bool, logs string) outcome{
 	"lost-tasks":  playLostTasks,
 	"one-failure": playOneFailure,
+	"huge-array":  playHugeArray,
 	"random":      playRandom,
 }
 
--- a/review/rig/case2.go
+++ b/review/rig/onefailure.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// playOneFailure plays case 2: a machine is faulty for some seconds and fails the one task that
+// playOneFailure plays case 3: a machine is faulty for some seconds and fails the one task that
 // starts on it in that time. Afterwards it is sound and has room for the task.
 func playOneFailure(rec *record, root string, trouble bool, logs string) outcome {
 	const waitLimit = 90 * time.Second
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"flag"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -12,6 +13,13 @@
 	"time"
 )
 
+// maxRequest is the limit of a request's body.
+const maxRequest = 64 << 10
+
+// keepLimit makes the workers send no report above maxRequest, for a comparison. By default they
+// send it, since a report has to list all tasks.
+var keepLimit = flag.Bool("keep-limit", false, "workers send no report of more than 64 KiB")
+
 // piece is a task on a worker.
 type piece struct {
 	name    string
@@ -48,6 +56,8 @@
 	hung      bool // does nothing, may go on later
 	sick      bool // fails every task that it starts
 	failed    int
+	largest   int // bytes of its largest report
+	tooLarge  int // reports answered with 413
 	batonTold time.Time
 	// delayOrders is for how long a direct command is held up on its way.
 	delayOrders time.Duration
@@ -285,6 +295,12 @@
 	shift := wk.shift
 	wk.mu.Unlock()
 	body, _ := json.Marshal(r)
+	if *keepLimit && len(body) > maxRequest {
+		wk.mu.Lock()
+		wk.largest = max(wk.largest, len(body))
+		wk.mu.Unlock()
+		return -1
+	}
 	sentAt := time.Now()
 	node := wk.world.nodes[target]
 	client := *wk.client
@@ -302,7 +318,10 @@
 		wk.target = (wk.target + 1) % len(wk.world.nodes)
 		return time.Second
 	}
+	wk.largest = max(wk.largest, len(body))
 	switch response.StatusCode {
+	case 413:
+		wk.tooLarge++
 	case 200:
 		var orders wireOrders
 		if json.Unmarshal(raw, &orders) != nil || orders.Baton == nil || *orders.Baton < wk.baton || shift != wk.shift {
