--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -18,9 +18,7 @@
 package leader
 
 import (
-	"cmp"
 	"log/slog"
-	"slices"
 	"time"
 
 	"lemonmoor/internal/eventloop"
@@ -115,75 +113,6 @@
 // jobs and records.
 func (l *Leader) IsLoaded() bool { return l.loaded }
 
-// load derives the state of the term from the copies of jobs and records.
-func (l *Leader) load() {
-	l.loaded = true
-	l.catalog.EachUnfinished(func(entry *userapi.Entry) { l.addJob(entry) })
-	l.records.EachRecord(l.loadRecord)
-	for _, job := range l.jobs.byID {
-		l.loadReturned(job)
-		if !job.spec.IsGang() {
-			continue
-		}
-		if job.counts.open == 0 && job.counts.done == 0 {
-			job.zones = nil // no task is on a machine, so the gang may be dispatched to other zones
-		}
-		l.observeGang(job)
-	}
-	for _, job := range l.jobs.byID {
-		l.endIfComplete(job)
-	}
-	l.RequestRound()
-	l.log.Info("leadership begins", "token", l.commits.token, "jobs", len(l.jobs.byID))
-}
-
-// loadRecord counts the tasks of a record that was created in an earlier term. The record of a
-// cancelled job brings the job back into the table until all of its records are removed. The
-// record of a job that is done or unknown is added to the garbage.
-func (l *Leader) loadRecord(record *taskstate.Record) {
-	job := l.jobs.byID[record.Job]
-	if job == nil {
-		entry := l.catalog.Get(record.Job)
-		if entry == nil || entry.Phase != userapi.PhaseCancelled || entry.Spec == nil {
-			l.garbage.keys = append(l.garbage.keys, record.Key)
-			return
-		}
-		job = l.addJob(entry)
-		job.cancelled = true
-	}
-	l.countRecord(job, record, 1)
-	job.nextRecord = max(job.nextRecord, record.Number+1)
-	job.pending.nextNew = max(job.pending.nextNew, record.TaskIndexes[len(record.TaskIndexes)-1]+1)
-	if len(record.Zones) > 0 {
-		job.zones = record.Zones
-	}
-}
-
-// loadReturned queues the tasks of a job whose newest record has them as returned.
-func (l *Leader) loadReturned(job *jobState) {
-	records := make([]*taskstate.Record, 0, 4)
-	for _, record := range l.records.JobRecords(job.entry.ID) {
-		records = append(records, record)
-	}
-	slices.SortFunc(records, func(a, b *taskstate.Record) int { return cmp.Compare(a.Number, b.Number) })
-	queue := &job.pending
-	for _, record := range records {
-		for position, index := range record.TaskIndexes {
-			// A task may be in several records, since it may have been returned more than
-			// once: the newest record decides.
-			if status := record.Statuses[position]; status.State == taskstate.StateReturned {
-				queue.attempts[index] = status.Attempt
-			} else {
-				delete(queue.attempts, index)
-			}
-		}
-	}
-	for index := range queue.attempts {
-		queue.returned = append(queue.returned, index)
-	}
-	slices.Sort(queue.returned)
-}
-
 // addJob adds an unfinished job to the job table.
 func (l *Leader) addJob(entry *userapi.Entry) *jobState {
 	spec := entry.Spec
--- a/internal/leader/record_commit.go
+++ b/internal/leader/record_commit.go
@@ -30,6 +30,7 @@
 	}
 	if maxRecords := l.maxRecordsPerCommit(); len(batches) > maxRecords {
 		l.fleet.RecordStalledDispatch()
+		l.log.Debug("dispatch cut to the limit of a commit", "records", maxRecords, "dropped", len(batches)-maxRecords)
 		for _, batch := range batches[maxRecords:] {
 			batch.requeue()
 		}
@@ -88,6 +89,7 @@
 		// of other nodes pass, so half of the records are dropped before the retry. The
 		// transaction stays whole if an earlier attempt may still be carried out.
 		if half := len(c.records) / 2; half > 0 && !c.inDoubt {
+			c.leader.log.Debug("dispatch halved after a refusal", "records", half, "dropped", len(c.records)-half)
 			c.dropFrom(half)
 		}
 		c.retry()
