Leader: a task counts as dispatched only if a record names it

Cause: a round cuts a job's tasks into a record for each shard, whose tasks interleave if the array is spread. Of a round's records only some may be committed (limit of a commit, half of them after a 429 or 503); the tasks of the others wait in the leader's memory. The next leader took every task below the highest recorded one for dispatched unless its newest record had it as returned. A task in no record was then in no queue and in no shard. Change: a new leader queues all tasks that no record names. Safe, since a task is recorded before it is launched, records of unfinished jobs stay, and the records are verified as current under the new token.

--- a/internal/leader/job_state.go
+++ b/internal/leader/job_state.go
@@ -42,8 +42,8 @@
 }
 
 // taskQueue holds the tasks of a job that are not dispatched to a shard: first the tasks that
-// were returned to the queue, by a shard or because their dispatch was not committed, then
-// those that were never removed from it.
+// were returned to the queue, by a shard or because their dispatch was not committed, be it by
+// this leader or an earlier one, then those that were never removed from it.
 type taskQueue struct {
 	total    int            // number of tasks of the job
 	nextNew  int            // index of the first task that was never removed from the queue
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -16,7 +16,7 @@
 	unrecorded := 0
 	for _, job := range l.jobs.byID {
 		l.loadReturned(job)
-		unrecorded += l.countUnrecorded(job)
+		unrecorded += l.loadUnrecorded(job)
 		if !job.spec.IsGang() {
 			continue
 		}
@@ -79,13 +79,20 @@
 	slices.Sort(queue.returned)
 }
 
-// countUnrecorded returns how many tasks of a job below the highest recorded one no record
-// names. The dispatch of such a task was planned together with one that was committed, but was
-// not committed itself.
-func (l *Leader) countUnrecorded(job *jobState) int {
-	unrecorded := unrecordedTasks(l.records.JobRecords(job.entry.ID), job.pending.nextNew)
+// loadUnrecorded queues the tasks of a job that an earlier leader removed from the queue but that
+// no record names, and returns their number. A task counts as dispatched only if a record names
+// it: of the records of one dispatch only some may have been committed, with tasks above those of
+// the others.
+func (l *Leader) loadUnrecorded(job *jobState) int {
+	queue := &job.pending
+	if job.spec.IsGang() && queue.nextNew > 0 {
+		queue.nextNew = max(queue.nextNew, queue.total) // a gang's tasks are removed together
+	}
+	unrecorded := unrecordedTasks(l.records.JobRecords(job.entry.ID), queue.nextNew)
 	if len(unrecorded) > 0 {
-		l.log.Debug("tasks below the highest recorded one are in no record", "job", job.entry.ID, "tasks", unrecorded)
+		l.log.Debug("tasks of an earlier dispatch are in no record, queued again", "job", job.entry.ID, "tasks", unrecorded)
+		queue.returned = append(queue.returned, unrecorded...)
+		slices.Sort(queue.returned)
 	}
 	return len(unrecorded)
 }
