Leader: a new leader binds a job to the zones of its newest record

Cause: the zones of a job were taken from whichever of its records came last in the store's map. A gang that must share a zone may have been returned and dispatched to another zone, so a new leader could bind it to the earlier one and dispatch missing tasks of it there: two zones for tasks that must share one (wrong_place). Change: records are read in the order of their numbers, the newest decides. Test: TestRestOfAGangIsBoundToItsNewestZone fails without the change ("the rest of gang 8 is bound to [b], want [a] as the tasks that are placed") and passes with it.

--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"lemonmoor/internal/taskstate"
@@ -49,20 +50,23 @@
 	l.countRecord(job, record, 1)
 	job.nextRecord = max(job.nextRecord, record.Number+1)
 	job.pending.nextNew = max(job.pending.nextNew, record.TaskIndexes[len(record.TaskIndexes)-1]+1)
-	if len(record.Zones) > 0 {
-		job.zones = record.Zones
-	}
 }
 
-// loadReturned queues the tasks of a job whose newest record has them as returned.
+// recordsInOrder returns the records of a job in the order in which they were planned.
+func (l *Leader) recordsInOrder(job *jobState) []*taskstate.Record {
+	return slices.SortedFunc(maps.Values(l.records.JobRecords(job.entry.ID)), func(a, b *taskstate.Record) int {
+		return cmp.Compare(a.Number, b.Number)
+	})
+}
+
+// loadReturned queues the tasks of a job whose newest record has them as returned, and binds the
+// job to the zones of its newest record.
 func (l *Leader) loadReturned(job *jobState) {
-	records := make([]*taskstate.Record, 0, 4)
-	for _, record := range l.records.JobRecords(job.entry.ID) {
-		records = append(records, record)
-	}
-	slices.SortFunc(records, func(a, b *taskstate.Record) int { return cmp.Compare(a.Number, b.Number) })
 	queue := &job.pending
-	for _, record := range records {
+	for _, record := range l.recordsInOrder(job) {
+		if len(record.Zones) > 0 {
+			job.zones = record.Zones
+		}
 		for position, index := range record.TaskIndexes {
 			// A task may be in several records, since it may have been returned more than
 			// once: the newest record decides.
--- a/internal/leader/takeover_test.go
+++ b/internal/leader/takeover_test.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -145,3 +147,41 @@
 		t.Errorf("phase of the gang is %q, want %q", entry.Phase, userapi.PhaseDone)
 	}
 }
+
+// TestRestOfAGangIsBoundToItsNewestZone guards against a gang whose tasks must share a zone but
+// run in two: a new leader must dispatch the tasks that are missing to the zone of the newest
+// record, not to that of an attempt that was returned before. Several gangs are tried, since the
+// store has no order of records.
+func TestRestOfAGangIsBoundToItsNewestZone(t *testing.T) {
+	const gangs, returnedAttempts = 10, 9
+	service := statetest.New()
+	page := 0
+	for gang := range gangs {
+		spec := newSpec(fmt.Sprintf("wk-%d", gang), 4)
+		spec.Shape, spec.SameZone = jobs.ShapeGang, true
+		submit(t, service, spec)
+		for number := range returnedAttempts + 1 {
+			record := taskstate.NewRecord(0, spec.ID, number, []int{0, 1, 2, 3}, []string{"b"}, nil)
+			change := func(task *taskstate.Task) { task.State, task.Attempt = taskstate.StateReturned, 1 }
+			if number == returnedAttempts {
+				record = taskstate.NewRecord(0, spec.ID, number, []int{0, 1}, []string{"a"}, nil)
+				change = func(task *taskstate.Task) {
+					task.State, task.Attempt, task.WorkerID = taskstate.StatePlaced, 2, "vm-2"
+				}
+			}
+			putPage(t, service, page, storeRecord(t, service, record), change)
+			page++
+		}
+	}
+	node := startProcess(service, twoZones)
+	node.run(10 * time.Second)
+	for gang := range gangs {
+		rest := node.store.Get(taskstate.RecordKey(0, fmt.Sprintf("wk-%d", gang), returnedAttempts+1))
+		if rest == nil {
+			t.Fatalf("the rest of gang %d is not dispatched", gang)
+		}
+		if want := []string{"a"}; !slices.Equal(rest.Zones, want) {
+			t.Errorf("the rest of gang %d is bound to %v, want %v as the tasks that are placed", gang, rest.Zones, want)
+		}
+	}
+}
