Leader: dispatch nothing of a job with a record that cannot be read

Cause: since a new leader queues every task that no record names, a stored record that cannot be decoded (another version's, or damaged) would make it dispatch tasks that the record names and that may be on machines: ran_twice. Before, most such tasks were taken for dispatched by chance; those above the highest readable one were not. Found by reading; no version writes such records. Change: the copy of the records notes the keys that cannot be decoded until they are deleted, and the leader passes over their jobs. The log line of such a record says so.

--- a/internal/leader/dispatch.go
+++ b/internal/leader/dispatch.go
@@ -113,6 +113,9 @@
 		if job.cancelled || job.ending || job.pending.length() == 0 || job.team == nil {
 			continue
 		}
+		if r.leader.records.HasUnreadableRecord(job.entry.ID) {
+			continue // a task of the queue may be in that record and on a machine
+		}
 		if exhausted[job.spec.Team] {
 			r.addHeldByQuota(job, job.pending.length())
 			continue
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -11,6 +11,8 @@
 // It must never
 //   - dispatch tasks or end jobs before the copies of jobs and records are verified to be
 //     current,
+//   - dispatch a task that a record names, unless its newest record has it as returned, or
+//     a task of a job with a record that cannot be read,
 //   - commit without the condition on the leader's lease,
 //   - let the open tasks of a team exceed its quota,
 //   - commit a job as done while one of its tasks is not,
--- a/internal/leader/takeover_test.go
+++ b/internal/leader/takeover_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/statestore"
 	"lemonmoor/internal/statetest"
 	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/userapi"
@@ -185,3 +186,23 @@
 		}
 	}
 }
+
+// TestJobWithAnUnreadableRecordIsNotDispatched guards against tasks that run twice: a task that
+// no record names may be in one that cannot be decoded, which another version may have written
+// and acts on. The job is dispatched again when that record is gone.
+func TestJobWithAnUnreadableRecordIsNotDispatched(t *testing.T) {
+	service := statetest.New()
+	spec := newSpec("wk-1", 4)
+	submit(t, service, spec)
+	putRecord(t, service, spec.ID, 0, 0, 2)
+	unreadableKey := taskstate.RecordKey(1, spec.ID, 1)
+	service.Set(t, unreadableKey, map[string]any{"i": "1:3"})
+	node := startProcess(service, twoZones)
+	node.run(3 * time.Second)
+	if got := node.dispatchedTasks(spec.ID); got != 2 {
+		t.Fatalf("%d tasks are dispatched beside an unreadable record, want the 2 recorded before", got)
+	}
+	service.Commit(&statetest.Commit{Operations: []statestore.Operation{{DeleteKey: unreadableKey}}})
+	node.run(3 * time.Second)
+	node.checkEachTaskIsDispatchedOnce(t, spec)
+}
--- a/internal/taskstate/store.go
+++ b/internal/taskstate/store.go
@@ -28,8 +28,9 @@
 	observers     []Observer
 	records       map[string]*Record            // by key
 	recordsByJob  map[string]map[string]*Record // by job ID and key
-	progress      map[string]*jobProgress       // by job ID
-	pageRevisions map[string]uint64             // by key
+	unreadable    unreadableRecords
+	progress      map[string]*jobProgress // by job ID
+	pageRevisions map[string]uint64       // by key
 	log           *slog.Logger
 }
 
@@ -42,8 +43,8 @@
 // NewStore returns an empty store.
 func NewStore(runtime eventloop.Runtime, state *statestore.Client, log *slog.Logger) *Store {
 	s := &Store{
-		records: map[string]*Record{}, recordsByJob: map[string]map[string]*Record{}, progress: map[string]*jobProgress{},
-		pageRevisions: map[string]uint64{}, log: log,
+		records: map[string]*Record{}, recordsByJob: map[string]map[string]*Record{}, unreadable: unreadableRecords{},
+		progress: map[string]*jobProgress{}, pageRevisions: map[string]uint64{}, log: log,
 	}
 	s.mirror = statestore.NewMirror(runtime, state, KeyPrefix, statestore.MirrorHandler{Apply: s.apply, Reset: s.reset})
 	return s
@@ -76,6 +77,10 @@
 // be modified.
 func (s *Store) JobRecords(jobID string) map[string]*Record { return s.recordsByJob[jobID] }
 
+// HasUnreadableRecord reports whether a record of a job is stored that cannot be decoded. Then it
+// is unknown which tasks of the job are dispatched.
+func (s *Store) HasUnreadableRecord(jobID string) bool { return len(s.unreadable[jobID]) > 0 }
+
 // PageRevision returns the revision of a log page, 0 if it was never written.
 func (s *Store) PageRevision(shardIndex, page int) uint64 {
 	return s.pageRevisions[PageKey(shardIndex, page)]
@@ -111,6 +116,7 @@
 			s.apply(key, nil, 0)
 		}
 	}
+	s.unreadable.retain(listed)
 }
 
 // apply applies a change of a key. The value is nil if the key was deleted.
@@ -125,21 +131,23 @@
 	case parsed.isPage:
 		// Pages are overwritten and never deleted, so the statuses stay unchanged.
 	case value == nil:
+		s.unreadable.remove(key, parsed.jobID)
 		s.removeRecord(key)
 	default:
-		s.addRecord(key, value, revision)
+		s.addRecord(key, parsed.jobID, value, revision)
 	}
 }
 
 // addRecord adds a new record. It ignores a known one: records are written only once, and
 // the statuses of a known record are newer than those of its stored form.
-func (s *Store) addRecord(key string, value json.RawMessage, revision uint64) {
+func (s *Store) addRecord(key, jobID string, value json.RawMessage, revision uint64) {
 	if s.records[key] != nil {
 		return
 	}
 	record, err := DecodeRecord(key, value, revision)
 	if err != nil {
-		s.log.Error("failed to decode a record", "key", key, "err", err)
+		s.log.Error("failed to decode a record, nothing more of its job is dispatched", "key", key, "err", err)
+		s.unreadable.add(key, jobID)
 		return
 	}
 	s.records[key] = record
