Test: state of the version in production with records missing is taken over

The version in production can leave the same gaps: its leader derives the queue in the same way. TestProductionStateWithMissingRecordsIsTakenOver takes records of waiting tasks out of the recorded state; all jobs are completed.

--- a/internal/controller/production_state_test.go
+++ b/internal/controller/production_state_test.go
@@ -48,6 +48,28 @@
 	}
 }
 
+// TestProductionStateWithMissingRecordsIsTakenOver checks that controllers also run the tasks that
+// the version in production has lost: its leader crashed after it had recorded tasks with higher
+// numbers, and its next leader took them for dispatched.
+func TestProductionStateWithMissingRecordsIsTakenOver(t *testing.T) {
+	var recording struct {
+		Snapshots []productionSnapshot `json:"snapshots"`
+	}
+	readProductionRecording(t, &recording)
+	snapshot := recording.Snapshots[1]
+	// Records of waiting tasks, each below the tasks of another record of the same job.
+	for _, key := range []string{"work/0/wk-000003/1", "work/0/wk-000003/2", "work/0/wk-000006/2"} {
+		if snapshot.Keys[key] == nil {
+			t.Fatalf("the snapshot has no record %s", key)
+		}
+		delete(snapshot.Keys, key)
+	}
+	sim := newSimulation(53)
+	sim.continueFrom(snapshot, true)
+	sim.runUntil(200 * time.Second)
+	sim.checkRulesAndCompletion(t)
+}
+
 // continueFrom restarts the controllers with the state of a snapshot and low limits of the
 // state service, which the settings declare if limitsDeclared is set. The users of the
 // unfinished jobs submit them again and poll; the user of largeProductionJob, if it is
