Leader: a cancelled job's missing tasks are not counted as queued again

Cause: a new leader counted and logged the unrecorded tasks of cancelled jobs too, though they are never dispatched. Change: it passes over cancelled jobs. Tests of the package pass.

--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -84,10 +84,13 @@
 }
 
 // loadUnrecorded queues the tasks of a job that an earlier leader removed from the queue but that
-// no record names, and returns their number. A task counts as dispatched only if a record names
-// it: of the records of one dispatch only some may have been committed, with tasks above those of
-// the others.
+// no record names, and returns their number, 0 for a cancelled job. A task counts as dispatched
+// only if a record names it: of the records of one dispatch only some may have been committed,
+// with tasks above those of the others.
 func (l *Leader) loadUnrecorded(job *jobState) int {
+	if job.cancelled {
+		return 0
+	}
 	queue := &job.pending
 	if job.spec.IsGang() && queue.nextNew > 0 {
 		queue.nextNew = max(queue.nextNew, queue.total) // a gang's tasks are removed together
