--- a/internal/controller/two_faults_test.go
+++ b/internal/controller/two_faults_test.go
@@ -19,7 +19,7 @@
 	schedule func(sim *simulation, seed int) (overlapped func() bool)
 }
 
-// overlapScenarios are the scenarios of TestTwoFaults other than refusalScenarios.
+// overlapScenarios are the scenarios of TestTwoFaults other than refusalScenarios and takeoverScenarios.
 var overlapScenarios = []scenario{
 	{"state service refuses the owner while launches wait for heartbeats and their jobs are cancelled", func(sim *simulation, _ int) func() bool {
 		sim.checker.commandsPrompt = true
@@ -351,7 +351,7 @@
 // that all work is done.
 func TestTwoFaults(t *testing.T) {
 	const seeds = 4
-	for _, scenario := range slices.Concat(refusalScenarios, overlapScenarios) {
+	for _, scenario := range slices.Concat(refusalScenarios, overlapScenarios, takeoverScenarios) {
 		t.Run(scenario.name, func(t *testing.T) {
 			runs, overlapped := 0, 0
 			for seed := 1; seed <= seeds; seed++ {
