--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -96,7 +96,7 @@
 	failures := make([]Failure, len(c.Nodes))
 	for {
 		retry := tuning.OperatorRetryDelay
-		for i, node := range c.Nodes {
+		for position, node := range c.Nodes {
 			remaining := deadline.Sub(c.Now())
 			if remaining <= 0 {
 				break
@@ -105,7 +105,7 @@
 			if outcome.Final {
 				return nil
 			}
-			failures[i] = Failure{node, outcome.Reason}
+			failures[position] = Failure{node, outcome.Reason}
 			retry = max(retry, outcome.Retry)
 		}
 		if c.Now().Add(retry).After(deadline) {
--- a/internal/controller/drain_measurement_test.go
+++ b/internal/controller/drain_measurement_test.go
@@ -31,14 +31,7 @@
 	sim.imageFetchTime = 2 * second
 	sim.cloud.available = 2 * tasks
 	sim.enableDrains(map[string]settings.DrainLimits{"red": teamBudget(budget, 1000, 0), "blue": teamBudget(budget, 1000, 0)}, atOnce, 0)
-	for i, team := range []string{"red", "blue"} {
-		job := newJob(jobSpec{
-			id: jobID(i + 1), team: team, tasks: tasks, cpus: 2.3, runTime: 10 * time.Hour, estimateSeconds: 3600, spot: true, urgent: true,
-			machineTypes: []string{"small"},
-		})
-		sim.schedule(0, func() { sim.submitAndPoll(job, 0) })
-	}
-	sim.runUntil(30 * second)
+	sim.startMeasuredJobs(tasks)
 	names := sim.workerIDs(hasTasks)
 	sim.cloud.available += 2 * tasks
 	began := sim.now
@@ -53,6 +46,19 @@
 	return result
 }
 
+// startMeasuredJobs submits a long job of each team, whose tasks have a machine each, and gives
+// them time to start.
+func (s *simulation) startMeasuredJobs(tasks int) {
+	for i, team := range []string{"red", "blue"} {
+		job := newJob(jobSpec{
+			id: jobID(i + 1), team: team, tasks: tasks, cpus: 2.3, runTime: 10 * time.Hour, estimateSeconds: 3600, spot: true, urgent: true,
+			machineTypes: []string{"small"},
+		})
+		s.schedule(0, func() { s.submitAndPoll(job, 0) })
+	}
+	s.runUntil(30 * second)
+}
+
 // measureRelease measures the alternative without drains: operators release all machines to the
 // cloud at once.
 func measureRelease(seed uint64, tasks int) drainMeasurement {
@@ -60,14 +66,7 @@
 	sim.imageFetchTime = 2 * second
 	sim.cloud.available = 2 * tasks
 	sim.enableDrains(nil, 1, 0)
-	for i, team := range []string{"red", "blue"} {
-		job := newJob(jobSpec{
-			id: jobID(i + 1), team: team, tasks: tasks, cpus: 2.3, runTime: 10 * time.Hour, estimateSeconds: 3600, spot: true, urgent: true,
-			machineTypes: []string{"small"},
-		})
-		sim.schedule(0, func() { sim.submitAndPoll(job, 0) })
-	}
-	sim.runUntil(30 * second)
+	sim.startMeasuredJobs(tasks)
 	sim.cloud.available += 2 * tasks
 	began := sim.now
 	for _, worker := range sim.cloud.workers {
--- a/internal/drain/grants.go
+++ b/internal/drain/grants.go
@@ -109,8 +109,9 @@
 // left to the next pass.
 func (r *reconcilePass) grantableMoves(drain *Drain, machine *Machine, moves []pendingMove) []TaskRef {
 	var granted []TaskRef
-	for i := range moves {
-		if err := r.checkMove(machine, &moves[i]); err != nil {
+	for index := range moves {
+		move := &moves[index]
+		if err := r.checkMove(machine, move); err != nil {
 			if errors.Is(err, errNoRoom) {
 				r.machinesWithoutRoom[machine.ID] = true
 			}
@@ -120,8 +121,8 @@
 		if (len(granted)+1)*maxTaskRefBytes > r.state.MaxValueBytes()-maxMachineBytes || r.changes.capacity <= 0 {
 			break
 		}
-		r.reserve(&moves[i])
-		granted = append(granted, moves[i].ref)
+		r.reserve(move)
+		granted = append(granted, move.ref)
 	}
 	return granted
 }
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -85,6 +85,7 @@
 	Body   string
 }
 
+// Error returns the status that the cloud has answered with.
 func (e *statusError) Error() string {
 	return fmt.Sprintf("cloud answered with status %d, want 200", e.Status)
 }
--- a/internal/fleet/releases.go
+++ b/internal/fleet/releases.go
@@ -59,15 +59,15 @@
 // isDispensable reports whether a machine has been idle for too long and may be drained. Idle
 // time during an outage, when nothing can be dispatched, does not show that a machine is not
 // needed. If it counted, most machines would be released just when the outage ends.
-func (f *Fleet) isDispensable(m *machine, manyIdle bool) bool {
-	if !f.isIdle(m) || f.idleFor(m) <= f.idleTimeout(m, manyIdle) || f.machines.retainedIdle[m.id] {
+func (f *Fleet) isDispensable(machine *machine, manyIdle bool) bool {
+	if !f.isIdle(machine) || f.idleFor(machine) <= f.idleTimeout(machine, manyIdle) || f.machines.retainedIdle[machine.id] {
 		return false
 	}
 	now := f.runtime.Now()
 	if f.demand.wasStalled(now) {
 		return false
 	}
-	return !f.isAwaitedByGang(m) || now-m.idleSince >= tuning.GangIdleRetention
+	return !f.isAwaitedByGang(machine) || now-machine.idleSince >= tuning.GangIdleRetention
 }
 
 // idleTimeout returns how long an idle machine is retained. manyIdle is set when more machines
--- a/internal/fleet/shard_status.go
+++ b/internal/fleet/shard_status.go
@@ -172,15 +172,15 @@
 // addInstructions adds to a reply the addresses of machines that have not reported to the shard
 // owner, and the IDs of machines to drain. reported is the result of observeMachines.
 func (f *Fleet) addInstructions(reply *StatusReply, shard int, reported map[string]bool) {
-	for id, m := range f.machines.byID {
+	for id, machine := range f.machines.byID {
 		switch {
-		case m.shard != shard:
+		case machine.shard != shard:
 		case reported != nil && !reported[id]:
-			m.status.AcceptsTasks = false // it has not reported to this owner yet
-			if m.address != "" && !m.release.requested && !m.listing.booting {
-				reply.Machines = append(reply.Machines, MachineAddress{id, m.address})
+			machine.status.AcceptsTasks = false // it has not reported to this owner yet
+			if machine.address != "" && !machine.release.requested && !machine.listing.booting {
+				reply.Machines = append(reply.Machines, MachineAddress{id, machine.address})
 			}
-		case m.drainReason != "" && m.reported && m.status.AcceptsTasks:
+		case machine.drainReason != "" && machine.reported && machine.status.AcceptsTasks:
 			reply.Drain = append(reply.Drain, id)
 		}
 	}
--- a/internal/jobs/machine_type.go
+++ b/internal/jobs/machine_type.go
@@ -45,10 +45,11 @@
 // Feasible returns an error that wraps ErrUnknownTeam, ErrNoMachineType or ErrAboveQuota if
 // the job can never run, and nil otherwise. The error texts are sent to users.
 func Feasible(spec *Spec, types []MachineType, teams []settings.Team) error {
-	i := slices.IndexFunc(teams, func(team settings.Team) bool { return team.Name == spec.Team })
-	if i < 0 {
+	position := slices.IndexFunc(teams, func(team settings.Team) bool { return team.Name == spec.Team })
+	if position < 0 {
 		return fmt.Errorf("%w %q", ErrUnknownTeam, spec.Team)
 	}
+	team := &teams[position]
 	if !slices.ContainsFunc(types, func(machineType MachineType) bool { return machineType.CanRun(spec) }) {
 		return ErrNoMachineType
 	}
@@ -58,7 +59,7 @@
 	}
 	// A limit of 0 forbids any use of the resource: "The value 0 means none" (PROTOCOL).
 	needed := spec.Resources().Times(tasksAtOnce)
-	if needed.CPUs > teams[i].CPUsMax+resource.Epsilon || needed.GPUs > teams[i].GPUsMax+resource.Epsilon {
+	if needed.CPUs > team.CPUsMax+resource.Epsilon || needed.GPUs > team.GPUsMax+resource.Epsilon {
 		return ErrAboveQuota
 	}
 	return nil
--- a/internal/leader/fixture_test.go
+++ b/internal/leader/fixture_test.go
@@ -214,6 +214,20 @@
 	return record
 }
 
+// storedRecord returns the task record with a key, which a leader must have dispatched.
+func storedRecord(t *testing.T, service *statetest.Service, key string) *taskstate.Record {
+	t.Helper()
+	stored, found := service.Get(key)
+	if !found {
+		t.Fatalf("record %s is not stored: its tasks are not dispatched", key)
+	}
+	record, err := taskstate.DecodeRecord(stored.Key, stored.Value, stored.Revision)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record
+}
+
 func markDone(task *taskstate.Task) { task.State, task.Attempt = taskstate.StateDone, 1 }
 
 // isDispatch reports whether a commit dispatches tasks.
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -132,14 +132,7 @@
 			}
 			putPage(t, service, 0, returned, func(task *taskstate.Task) { task.State, task.Attempt = taskstate.StateReturned, 3 })
 			node.run(3 * time.Second)
-			next, ok := service.Get(taskstate.RecordKey(0, spec.ID, 1))
-			if !ok {
-				t.Fatal("the returned tasks are not dispatched again")
-			}
-			redispatched, err := taskstate.DecodeRecord(next.Key, next.Value, next.Revision)
-			if err != nil {
-				t.Fatal(err)
-			}
+			redispatched := storedRecord(t, service, taskstate.RecordKey(0, spec.ID, 1))
 			for _, status := range redispatched.Statuses {
 				if status.Attempt != 3 {
 					t.Errorf("dispatched with last attempt %d, want 3", status.Attempt)
@@ -185,15 +178,7 @@
 	if entry := node.catalog.Get(spec.ID); entry.Phase != "" {
 		t.Fatalf("phase is %q when one of two tasks is done, want none", entry.Phase)
 	}
-	stored, ok := service.Get(taskstate.RecordKey(0, spec.ID, 2))
-	if !ok {
-		t.Fatal("the other task of the job is not dispatched")
-	}
-	last, err := taskstate.DecodeRecord(stored.Key, stored.Value, stored.Revision)
-	if err != nil {
-		t.Fatal(err)
-	}
-	putPage(t, service, 2, last, markDone)
+	putPage(t, service, 2, storedRecord(t, service, taskstate.RecordKey(0, spec.ID, 2)), markDone)
 	node.run(3 * time.Second)
 	if entry := node.catalog.Get(spec.ID); entry.Phase != userapi.PhaseDone {
 		t.Errorf("phase is %q when both tasks are done, want %q", entry.Phase, userapi.PhaseDone)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -45,14 +45,14 @@
 // serveMessage passes one message to the handler and writes the handler's answer. A message
 // that is not answered within 2*tuning.PeerRequestTimeout is refused, because its sender no
 // longer waits for the answer by then.
-func serveMessage(w http.ResponseWriter, r *http.Request, handle Handler, log *slog.Logger) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, tuning.MaxPeerMessageBytes))
+func serveMessage(writer http.ResponseWriter, request *http.Request, handle Handler, log *slog.Logger) {
+	body, err := io.ReadAll(io.LimitReader(request.Body, tuning.MaxPeerMessageBytes))
 	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	answered := make(chan result, 1)
-	handle(r.URL.Path, body, func(body []byte, ok bool) {
+	handle(request.URL.Path, body, func(body []byte, ok bool) {
 		select {
 		case answered <- result{body, ok}:
 		default: // only the first answer counts
@@ -61,14 +61,14 @@
 	select {
 	case answer := <-answered:
 		if !answer.ok {
-			w.WriteHeader(http.StatusServiceUnavailable)
+			writer.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		if _, err := w.Write(answer.body); err != nil {
+		if _, err := writer.Write(answer.body); err != nil {
 			log.Debug("peer answer not sent", "err", err)
 		}
-	case <-r.Context().Done():
+	case <-request.Context().Done():
 	case <-time.After(2 * tuning.PeerRequestTimeout):
-		w.WriteHeader(http.StatusServiceUnavailable)
+		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/taskstate/record.go
+++ b/internal/taskstate/record.go
@@ -63,15 +63,15 @@
 // NewRecord returns a record of tasks that are not placed. lastAttempts maps the indexes of
 // tasks that were attempted before to their last attempt.
 func NewRecord(shardIndex int, jobID string, number int, taskIndexes []int, zones []string, lastAttempts map[int]uint64) *Record {
-	r := &Record{
+	record := &Record{
 		Key: RecordKey(shardIndex, jobID, number), Shard: shardIndex, Job: jobID, Number: number,
 		TaskIndexes: taskIndexes, Zones: zones,
 	}
-	r.clearStatuses()
+	record.clearStatuses()
 	for position, index := range taskIndexes {
-		r.Statuses[position].Attempt = lastAttempts[index]
+		record.Statuses[position].Attempt = lastAttempts[index]
 	}
-	return r
+	return record
 }
 
 // SetAllDone marks all tasks of the record as done. It is used for a gang of which one task
