Leader: the rest of a gang that needs several commits follows instead of a recall

Callers would see: a gang of which the records do not fit into one commit (two records in the test; 6 to 11 by the limits of the sites, of 1,000 tasks each, or of 200 for tasks that were returned before) never starts. Cause: the leader took every task that is back in its queue for one that a shard has returned. Tasks left out of a commit made it recall the committed ones; when they were back, all were dispatched and cut again. Change: gangState.recalling tells whether the shards' parts have to come back: a shard has returned a task, a part of a divided gang was not committed, or an earlier leader left tasks in no record. Otherwise the tasks left out follow to the shard that has the others. Tests: TestGangOfSeveralCommitsIsDispatchedWhole fails without the change ("not all tasks of the gang are in a shard after 30 s"). TestDividedGangCutByARefusalIsDispatchedWhole ("tasks of the gang are open in [1 1 0 0] records") and TestPartOfAGangThatIsBeingReturnedWaitsForTheRest ("6 tasks are in records while a part is being returned, want 4") hold what was so before and fail when their line is taken out. Left: a divided gang that has more parts than a commit may have records, while writes are throttled to so few, is still recalled and cut again until they are not.

--- a/internal/leader/batch.go
+++ b/internal/leader/batch.go
@@ -50,6 +50,9 @@
 
 // requeue returns the tasks of the batch to the queue of their job.
 func (b *taskBatch) requeue() {
+	if b.gangAttempt > 0 {
+		b.job.gang.recalling = true // the attempt cannot be completed without this part
+	}
 	queue := &b.job.pending
 	queue.returned = append(queue.returned, b.tasks...)
 	sort.Ints(queue.returned)
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -86,6 +86,7 @@
 	l.countTask(job, record.Shard, status, 1)
 	if status.State == taskstate.StateReturned && !job.cancelled {
 		job.pending.requeue(record.TaskIndexes[position], status.Attempt)
+		job.gang.recalling = true
 	}
 	if job.counts.open == 0 {
 		l.endIfComplete(job)
--- a/internal/leader/gang_dispatch.go
+++ b/internal/leader/gang_dispatch.go
@@ -21,7 +21,7 @@
 	case job.counts.open > 0:
 		r.dispatchRestOfGang(job)
 	default:
-		job.gang.partReturnedSince = 0
+		job.gang.recalling, job.gang.partReturnedSince = false, 0
 		r.dispatchWholeGang(job)
 	}
 }
@@ -98,7 +98,7 @@
 func (r *dispatchRound) dispatchRestOfGang(job *jobState) {
 	now := r.leader.runtime.Now()
 	since := &job.gang.partReturnedSince
-	if len(job.pending.returned) > 0 && (*since == 0 || now-*since < tuning.GangReturnTimeout) {
+	if job.isPartlyReturned() && (*since == 0 || now-*since < tuning.GangReturnTimeout) {
 		if *since == 0 {
 			*since = now
 		}
--- a/internal/leader/gang_queue.go
+++ b/internal/leader/gang_queue.go
@@ -18,7 +18,7 @@
 // the gang has been returned or if shouldRecallGang says so. Otherwise it allocates room to
 // them if there is enough for all, or adds demand for machines.
 func (r *dispatchRound) planQueuedPart(job *jobState, shard, tasks int) {
-	if len(job.pending.returned) > 0 {
+	if job.isPartlyReturned() {
 		// A part of the gang has been returned: the rest is recalled too.
 		r.recallGang(job, shard, tasks)
 		return
--- a/internal/leader/job_state.go
+++ b/internal/leader/job_state.go
@@ -35,6 +35,10 @@
 
 // gangState is additional state of a job of shape gang. Times are by the loop's clock.
 type gangState struct {
+	// recalling is set when tasks of the gang were returned by a shard, or are missing from a
+	// divided gang or from the records of an earlier leader: all of the gang has to be returned
+	// before it is dispatched again. It is reset when no shard has a task of the gang.
+	recalling bool
 	// partReturnedSince is the time since which only a part of the gang has been returned,
 	// 0 if none or all of it has been.
 	partReturnedSince time.Duration
@@ -84,6 +88,11 @@
 	return byZone
 }
 
+// isPartlyReturned reports whether tasks of a gang are in the queue that have to wait there for
+// the rest of it. Tasks of a whole gang that did not fit into the commit of its dispatch do not:
+// they follow those that were committed.
+func (j *jobState) isPartlyReturned() bool { return j.gang.recalling && len(j.pending.returned) > 0 }
+
 // isComplete reports whether the job has no tasks left to run, so that its end can be
 // committed.
 func (j *jobState) isComplete() bool {
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -21,6 +21,7 @@
 		if !job.spec.IsGang() {
 			continue
 		}
+		job.gang.recalling = len(job.pending.returned) > 0
 		if job.counts.open == 0 && job.counts.done == 0 {
 			job.zones = nil // no task is on a machine, so the gang may be dispatched to other zones
 		}
