Logs and metrics: why launches leave, placements end and leases change hands

New lines at level info: each launch with token, session, sequence and the age of what it rests on; each end of a placement with its evidence, which is now typed; each dispatch with what the teams use; holders of leases as every node sees them; revisions up to which a new leader or owner has read; accepted and cancelled jobs.

No decision changes.

--- a/cmd/lemonmoor/serve.go
+++ b/cmd/lemonmoor/serve.go
@@ -39,6 +39,7 @@
 		Sockets:           sockets,
 		Log:               log,
 		IsUser:            isUserRequest,
+		Metrics:           node.Metrics,
 		WorkerIdleTimeout: tuning.AbandonedConnectionHeartbeats * settings.HeartbeatInterval(),
 	})
 
--- a/internal/controller/knowledge.go
+++ b/internal/controller/knowledge.go
@@ -32,6 +32,13 @@
 	return false
 }
 
+// knowledgeAge returns the age of the newest verification of the catalog, or the time since the
+// process started if there is none.
+func (n *Node) knowledgeAge() time.Duration {
+	verifiedAt, _ := n.catalog.VerifiedAt()
+	return n.runtime.Now() - verifiedAt
+}
+
 // verifyCopiesIfStale requests a verification of the catalog's cancellations and of the leases
 // where the last one is too old. A shard owner's answers to workers depend on both.
 func (n *Node) verifyCopiesIfStale() {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -17,6 +17,7 @@
 	"lemonmoor/internal/eventloop"
 	"lemonmoor/internal/fleet"
 	"lemonmoor/internal/leader"
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/settings"
 	"lemonmoor/internal/statestore"
 	"lemonmoor/internal/taskstate"
@@ -30,6 +31,7 @@
 	settings    *settings.Settings
 	log         *slog.Logger
 	stateClient *statestore.Client
+	metrics     *metrics.Metrics
 }
 
 // Node is a controller node.
@@ -82,6 +84,10 @@
 	n.tick()
 }
 
+// Metrics returns the node's metrics in the text format of Prometheus. It may be called from any
+// goroutine.
+func (n *Node) Metrics() ([]byte, error) { return n.metrics.Encode() }
+
 // ownsShard reports whether this node owns any shard.
 func (n *Node) ownsShard() bool {
 	for _, owner := range n.shardOwners {
--- a/internal/controller/shard_owner.go
+++ b/internal/controller/shard_owner.go
@@ -42,7 +42,7 @@
 		Settings: node.settings, Handler: owner, Log: node.log,
 	})
 	owner.workers = workers.NewRegistry(workers.Dependencies{
-		Runtime: node.runtime, Lease: owner, Tasks: owner.tasks, Scheduler: owner, Settings: node.settings,
+		Runtime: node.runtime, Lease: owner, Tasks: owner.tasks, Scheduler: owner, Settings: node.settings, Metrics: node.metrics,
 		Log: node.log.With("shard", shardIndex),
 	})
 	owner.planner = placement.New(owner.workers, owner, node.settings.WaitBound())
@@ -55,6 +55,9 @@
 // LeaseValid reports whether the shard's lease is certain to be valid now.
 func (s *shardOwner) LeaseValid() bool { return s.token != 0 && s.node.leases.LeaseValid() }
 
+// KnowledgeAge returns the age of the newest verification that all cancellations are known.
+func (s *shardOwner) KnowledgeAge() time.Duration { return s.node.knowledgeAge() }
+
 // MayAnswer reports whether workers' heartbeats may be answered.
 func (s *shardOwner) MayAnswer() bool { return s.node.mayAnswer(s) }
 
--- a/internal/controller/wiring.go
+++ b/internal/controller/wiring.go
@@ -7,6 +7,7 @@
 	"lemonmoor/internal/eventloop"
 	"lemonmoor/internal/fleet"
 	"lemonmoor/internal/leader"
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/settings"
 	"lemonmoor/internal/statestore"
 	"lemonmoor/internal/taskstate"
@@ -29,7 +30,7 @@
 		MaxOperations: settings.MaxOperations(), MaxValueBytes: settings.MaxValueBytes(), FutureWriteShare: settings.FutureWriteShare(),
 	})
 	node := &Node{
-		platform:     platform{runtime: runtime, settings: settings, log: log, stateClient: client},
+		platform:     platform{runtime: runtime, settings: settings, log: log, stateClient: client, metrics: metrics.New()},
 		identity:     identity{nonce: nonce, rank: rankOf(settings)},
 		membership:   newMembership(runtime, client, settings.Seeds),
 		redirections: redirections{},
@@ -65,7 +66,7 @@
 	})
 	n.leader = leader.New(leader.Dependencies{
 		Runtime: n.runtime, State: n.stateClient, Leases: n.leases, Catalog: n.catalog, Records: n.taskStates,
-		Fleet: n.fleet, Machines: machines, Settings: n.settings, Log: n.log,
+		Fleet: n.fleet, Machines: machines, Settings: n.settings, Metrics: n.metrics, Log: n.log,
 	})
 	n.userAPI = userapi.NewAPI(userapi.Config{
 		Runtime: n.runtime, Client: n.stateClient, Catalog: n.catalog, Settings: n.settings, Progress: n.taskStates, Machines: n.fleet,
@@ -85,6 +86,7 @@
 
 // LeadershipAcquired begins the terms of the leader's components under a new fencing token.
 func (o leaseObserver) LeadershipAcquired(token uint64) {
+	o.node.metrics.SetLeaderToken(token)
 	o.node.leader.BeginTerm(token)
 	o.node.fleet.BeginTerm()
 	if o.node.drains != nil {
@@ -94,6 +96,7 @@
 
 // LeadershipLost ends the terms of the leader's components.
 func (o leaseObserver) LeadershipLost() {
+	o.node.metrics.SetLeaderToken(0)
 	o.node.leader.EndTerm()
 	o.node.fleet.EndTerm()
 	if o.node.drains != nil {
@@ -103,12 +106,16 @@
 
 // ShardAcquired begins a shard owner's term under a new fencing token.
 func (o leaseObserver) ShardAcquired(shardIndex int, token uint64) {
+	o.node.metrics.SetShardToken(shardIndex, token)
 	o.node.ownership.shardAcquired()
 	o.node.shardOwners[shardIndex].beginTerm(token)
 }
 
 // ShardLost ends a shard owner's term.
-func (o leaseObserver) ShardLost(shardIndex int) { o.node.shardOwners[shardIndex].endTerm() }
+func (o leaseObserver) ShardLost(shardIndex int) {
+	o.node.metrics.SetShardToken(shardIndex, 0)
+	o.node.shardOwners[shardIndex].endTerm()
+}
 
 // jobObserver notifies a node's components of changed jobs.
 type jobObserver struct{ node *Node }
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -102,6 +102,16 @@
 	return append(dst, body...)
 }
 
+// appendText appends a successful response with a body of the given media type to dst.
+func appendText(dst []byte, contentType string, body []byte) []byte {
+	dst = append(dst, "HTTP/1.1 200 OK\r\nContent-Type: "...)
+	dst = append(dst, contentType...)
+	dst = append(dst, "\r\nContent-Length: "...)
+	dst = strconv.AppendInt(dst, int64(len(body)), 10)
+	dst = append(dst, "\r\n\r\n"...)
+	return append(dst, body...)
+}
+
 // encodeRequest returns the encoded request, with host as its Host field.
 func encodeRequest(host string, request ClientRequest) []byte {
 	var encoded []byte
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/tuning"
 )
 
@@ -33,6 +34,10 @@
 	// is closed; 0 means tuning.IdleConnectionTimeout. The timeout is needed because a
 	// machine that died or was cut off does not close its connection.
 	WorkerIdleTimeout time.Duration
+	// Metrics returns the metrics that are served at metrics.Path. It runs on the server's event
+	// loop, so that metrics can be read while the handler's own loop is overloaded. If nil, no
+	// metrics are served.
+	Metrics func() ([]byte, error)
 }
 
 // Server serves HTTP/1.1 on gnet's event loop. It handles one request per connection at a time.
@@ -139,6 +144,9 @@
 		return gnet.None
 	}
 	_, _ = connection.Discard(size) // no more than Peek returned
+	if request.Path == metrics.Path && s.config.Metrics != nil {
+		return s.serveMetrics(connection)
+	}
 	isUser := s.config.IsUser(request)
 	state.isUser.Store(isUser)
 	if isUser && s.config.Sockets.IsScarce() {
@@ -149,6 +157,18 @@
 	return gnet.None
 }
 
+// serveMetrics sends the metrics on the event loop.
+func (s *Server) serveMetrics(connection gnet.Conn) gnet.Action {
+	text, err := s.config.Metrics()
+	if err != nil {
+		return refuse(connection, http.StatusInternalServerError, err.Error(), 0)
+	}
+	if _, err := connection.Write(appendText(nil, metrics.ContentType, text)); err != nil {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
 // refuse sends an error response on the event loop and closes the connection.
 func refuse(connection gnet.Conn, status int, reason string, retryAfter int) gnet.Action {
 	// A write error is ignored: the connection is closed in any case.
--- a/internal/leader/fixture_test.go
+++ b/internal/leader/fixture_test.go
@@ -10,6 +10,7 @@
 	"lemonmoor/internal/fleet"
 	"lemonmoor/internal/http1"
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/settings"
 	"lemonmoor/internal/statestore"
 	"lemonmoor/internal/statetest"
@@ -100,7 +101,7 @@
 	node.fleet = fleet.New(fleet.Dependencies{Runtime: node.runtime, Address: "cloud", Leases: node.leases, Loads: machines, Settings: platform, Log: log})
 	node.leader = New(Dependencies{
 		Runtime: node.runtime, State: state, Leases: node.leases, Catalog: node.catalog, Records: node.store,
-		Fleet: node.fleet, Machines: machines, Settings: platform, Log: log,
+		Fleet: node.fleet, Machines: machines, Settings: platform, Metrics: metrics.New(), Log: log,
 	})
 	node.store.Observe(node.leader)
 	node.fleet.Start()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -27,6 +27,7 @@
 	"lemonmoor/internal/fleet"
 	"lemonmoor/internal/gangforecast"
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/settings"
 	"lemonmoor/internal/statestore"
 	"lemonmoor/internal/taskstate"
@@ -44,6 +45,7 @@
 	Fleet    *fleet.Fleet
 	Machines *MachineUsage // updated by the leader, read by the fleet
 	Settings *settings.Settings
+	Metrics  *metrics.Metrics
 	Log      *slog.Logger
 }
 
@@ -57,6 +59,7 @@
 	records  *taskstate.Store
 	fleet    *fleet.Fleet
 	settings *settings.Settings
+	metrics  *metrics.Metrics
 	log      *slog.Logger
 
 	terms    term.Counter // advances when the leadership is won and when it is lost
@@ -79,7 +82,7 @@
 func New(dependencies Dependencies) *Leader {
 	l := &Leader{
 		runtime: dependencies.Runtime, state: dependencies.State, leases: dependencies.Leases, catalog: dependencies.Catalog,
-		records: dependencies.Records, fleet: dependencies.Fleet, settings: dependencies.Settings, log: dependencies.Log,
+		records: dependencies.Records, fleet: dependencies.Fleet, settings: dependencies.Settings, metrics: dependencies.Metrics, log: dependencies.Log,
 		machines: dependencies.Machines,
 	}
 	l.commits = committer{runtime: l.runtime, state: l.state, leases: l.leases, terms: &l.terms, observer: l}
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -31,7 +31,8 @@
 		l.endIfComplete(job)
 	}
 	l.RequestRound()
-	l.log.Info("leadership begins", "token", l.commits.token, "jobs", len(l.jobs.byID), "unrecorded", unrecorded)
+	l.log.Info("leadership begins", "token", l.commits.token, "jobs", len(l.jobs.byID), "unrecorded", unrecorded,
+		"records_revision", l.records.Revision(), "jobs_revision", l.catalog.Revision())
 }
 
 // loadRecord counts the tasks of a record that was created in an earlier term. The record of a
--- a/internal/leader/record_commit.go
+++ b/internal/leader/record_commit.go
@@ -83,6 +83,7 @@
 	switch result.Outcome {
 	case statestore.OutcomeOK:
 		// RecordAdded is called for the records when the watch reports them.
+		c.logDispatch(result.Revision)
 	case statestore.OutcomeRefused:
 		c.leader.fleet.RecordStalledDispatch()
 		// While writes are throttled, a large commit is refused repeatedly while small ones
@@ -101,6 +102,20 @@
 	}
 }
 
+// logDispatch logs a dispatch that was committed, with what the teams of its jobs use of their
+// quotas.
+func (c *recordCommit) logDispatch(revision uint64) {
+	leader, tasks := c.leader, 0
+	usage := map[string]string{}
+	for i, record := range c.records {
+		tasks += len(record.TaskIndexes)
+		usage[c.batches[i].job.spec.Team] = c.batches[i].job.team.String()
+	}
+	leader.metrics.AddDispatched(tasks)
+	leader.log.Info("tasks dispatched", "token", leader.commits.token, "revision", revision, "records", len(c.records), "tasks", tasks,
+		"attempt", c.attempt, "in_doubt", c.inDoubt, "teams", usage)
+}
+
 // retry sends the transaction again after a pause.
 func (c *recordCommit) retry() {
 	attempt := c.attempt
--- a/internal/leader/team_usage.go
+++ b/internal/leader/team_usage.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -31,6 +32,11 @@
 	return usages
 }
 
+// String returns the usage and the quota for logs: processors, then GPUs.
+func (u *teamUsage) String() string {
+	return fmt.Sprintf("%g/%g cpus %g/%g gpus", u.cpus, u.maxCPUs, u.gpus, u.maxGPUs)
+}
+
 // count adds open tasks of a job. A negative number subtracts them.
 func (u *teamUsage) count(spec *jobs.Spec, tasks float64) {
 	u.cpus += tasks * spec.CPUs
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,141 @@
+// Package metrics defines the counters and gauges of a node and encodes them in the text format
+// of Prometheus.
+//
+// It owns the values and nothing else. They may be changed and encoded concurrently. No decision
+// may depend on them: everything that a component needs to know it has to keep itself.
+package metrics
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+)
+
+const (
+	// Path is the request path at which a node serves its metrics.
+	Path = "/metrics"
+	// ContentType is the media type of the encoded metrics.
+	ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+	// namespace is the first part of the names of all metrics.
+	namespace = "lemonmoor"
+)
+
+// Invariant names a condition that is asserted at run time. A violation is counted and logged as
+// an error.
+type Invariant string
+
+// The invariants asserted at run time.
+const (
+	// InvariantGoneTaskNotListed is violated when a worker lists a task as alive after the task
+	// was considered gone from it.
+	InvariantGoneTaskNotListed Invariant = "gone_task_not_listed"
+	// InvariantExpiredSessionSilent is violated when a worker executes a command in a session
+	// whose lease was considered expired before the command was sent.
+	InvariantExpiredSessionSilent Invariant = "expired_session_silent"
+	// InvariantPlacedOnce is violated when a task that is placed on a machine, or is over, is to
+	// be placed on another one.
+	InvariantPlacedOnce Invariant = "placed_once"
+	// InvariantWithinQuota is violated when the open tasks in a team's records exceed its quota.
+	InvariantWithinQuota Invariant = "within_quota"
+)
+
+// Metrics are the metrics of one node.
+type Metrics struct {
+	registry        *prometheus.Registry
+	leaderToken     prometheus.Gauge
+	shardTokens     *prometheus.GaugeVec
+	launches        *prometheus.CounterVec
+	placementsEnded *prometheus.CounterVec
+	tokensAcquired  *prometheus.CounterVec
+	dispatchedTasks prometheus.Counter
+	knowledgeAge    prometheus.Histogram
+	violations      *prometheus.CounterVec
+}
+
+// New returns metrics that are all zero.
+func New() *Metrics {
+	created := &Metrics{
+		registry: prometheus.NewRegistry(),
+		leaderToken: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "leader_token", Help: "Fencing token under which this node leads, 0 if it does not.",
+		}),
+		shardTokens: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "shard_token", Help: "Fencing token under which this node owns a shard, 0 if it does not.",
+		}, []string{"shard"}),
+		launches: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "launches_total", Help: "Launch commands sent, by way of delivery.",
+		}, []string{"way"}),
+		placementsEnded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "placements_ended_total", Help: "Placements ended, by evidence that the task is not on its machine.",
+		}, []string{"evidence"}),
+		tokensAcquired: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "shard_tokens_acquired_total", Help: "Fencing tokens of a shard that this node has acquired.",
+		}, []string{"shard"}),
+		dispatchedTasks: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "dispatched_tasks_total", Help: "Tasks in the records that this node has committed as the leader.",
+		}),
+		knowledgeAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "launch_knowledge_age_seconds", Help: "Age of the knowledge of cancellations when launches are sent.",
+			Buckets: []float64{0.01, 0.05, 0.1, 0.5, 1, 2, 5},
+		}),
+		violations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "invariant_violations_total", Help: "Violations of invariants found at run time.",
+		}, []string{"invariant"}),
+	}
+	created.registry.MustRegister(created.leaderToken, created.shardTokens, created.launches, created.placementsEnded, created.tokensAcquired, created.dispatchedTasks, created.knowledgeAge, created.violations)
+	for _, invariant := range []Invariant{InvariantGoneTaskNotListed, InvariantExpiredSessionSilent, InvariantPlacedOnce, InvariantWithinQuota} {
+		created.violations.WithLabelValues(string(invariant)) // reported as 0 before the first violation
+	}
+	return created
+}
+
+// SetLeaderToken records the fencing token of the leadership, 0 if this node does not lead.
+func (m *Metrics) SetLeaderToken(token uint64) { m.leaderToken.Set(float64(token)) }
+
+// SetShardToken records the fencing token of a shard, 0 if this node does not own it.
+func (m *Metrics) SetShardToken(shard int, token uint64) {
+	label := strconv.Itoa(shard)
+	m.shardTokens.WithLabelValues(label).Set(float64(token))
+	if token != 0 {
+		m.tokensAcquired.WithLabelValues(label).Inc()
+	}
+}
+
+// AddLaunches counts launch commands sent in a direct message or in the answer to a heartbeat,
+// and the age in seconds of the knowledge on which they were allowed.
+func (m *Metrics) AddLaunches(way string, count int, knowledgeAgeSeconds float64) {
+	m.launches.WithLabelValues(way).Add(float64(count))
+	m.knowledgeAge.Observe(knowledgeAgeSeconds)
+}
+
+// AddPlacementEnded counts a placement that has ended on the given evidence.
+func (m *Metrics) AddPlacementEnded(evidence string) {
+	m.placementsEnded.WithLabelValues(evidence).Inc()
+}
+
+// AddDispatched counts tasks in records that were committed.
+func (m *Metrics) AddDispatched(tasks int) { m.dispatchedTasks.Add(float64(tasks)) }
+
+// AddViolation counts a violation of an invariant.
+func (m *Metrics) AddViolation(invariant Invariant) {
+	m.violations.WithLabelValues(string(invariant)).Inc()
+}
+
+// Encode returns all metrics in the text format of Prometheus.
+func (m *Metrics) Encode() ([]byte, error) {
+	families, err := m.registry.Gather()
+	if err != nil {
+		return nil, fmt.Errorf("gather metrics: %w", err)
+	}
+	var text bytes.Buffer
+	for _, family := range families {
+		if _, err := expfmt.MetricFamilyToText(&text, family); err != nil {
+			return nil, fmt.Errorf("encode metric %s: %w", family.GetName(), err)
+		}
+	}
+	return text.Bytes(), nil
+}
--- a/internal/shard/taskstore.go
+++ b/internal/shard/taskstore.go
@@ -97,7 +97,8 @@
 	})
 	s.loaded = true
 	s.deps.Log.Info("shard records loaded", "shard", s.shardIndex, "token", s.writer.token,
-		"jobs", len(s.tasks.jobs), "records", len(s.tasks.groups))
+		"jobs", len(s.tasks.jobs), "records", len(s.tasks.groups),
+		"records_revision", s.deps.Records.Revision(), "jobs_revision", s.deps.Catalog.Revision())
 	s.deps.Handler.RecordsLoaded()
 	for _, group := range s.tasks.groups {
 		s.announceWaiting(group)
--- a/internal/statestore/lease_table.go
+++ b/internal/statestore/lease_table.go
@@ -57,6 +57,9 @@
 		if isShard {
 			t.answers.ownerChanged(shard, false)
 		}
+		if isShard || key == LeaderKey {
+			t.log.Info("lease vacant", "key", key, "revision", revision)
+		}
 		return
 	}
 	var holder leaseHolder
@@ -67,6 +70,16 @@
 		t.answers.ownerChanged(shard, true)
 	}
 	t.revisions[key], t.holders[key] = revision, holder
+	t.logHolder(key, isShard)
+}
+
+// logHolder logs the new holder of the leadership or of a shard.
+func (t *leaseTable) logHolder(key string, isShard bool) {
+	if !isShard && key != LeaderKey {
+		return
+	}
+	holder := t.holders[key]
+	t.log.Info("lease held", "key", key, "holder", holder.Node, "nonce", holder.Nonce, "token", t.revisions[key])
 }
 
 // shardOfKey returns the shard of a shard's lease key; ok is false for other keys and for
--- a/internal/statestore/mirror.go
+++ b/internal/statestore/mirror.go
@@ -58,6 +58,9 @@
 // IsReady reports whether a complete listing has been applied.
 func (m *Mirror) IsReady() bool { return m.ready }
 
+// Revision returns the revision up to which all changes have been applied.
+func (m *Mirror) Revision() uint64 { return m.revision }
+
 // Start lists the key-values and watches their changes from then on.
 func (m *Mirror) Start() { m.list(0) }
 
--- a/internal/taskstate/store.go
+++ b/internal/taskstate/store.go
@@ -59,6 +59,9 @@
 // Start starts reading the records.
 func (s *Store) Start() { s.mirror.Start() }
 
+// Revision returns the revision of the state service up to which the store holds all changes.
+func (s *Store) Revision() uint64 { return s.mirror.Revision() }
+
 // Verify calls fn once the store is verified to hold everything that was committed before
 // the call, or with an error if that could not be shown.
 func (s *Store) Verify(fn func(error)) { s.mirror.Verify(fn) }
--- a/internal/userapi/cancel.go
+++ b/internal/userapi/cancel.go
@@ -72,6 +72,7 @@
 		switch result.Outcome {
 		case statestore.OutcomeOK:
 			c.catalog.Observe(id, value, result.Revision)
+			c.catalog.log.Info("job cancelled", "job", id, "revision", result.Revision)
 			c.polls.respondStatus(respond, c.catalog.Get(id))
 		case statestore.OutcomeConflict, statestore.OutcomeInvalid:
 			c.cancel(id, respond, attempt+1)
--- a/internal/userapi/catalog.go
+++ b/internal/userapi/catalog.go
@@ -54,6 +54,9 @@
 // Ready reports whether all job records have been read.
 func (c *Catalog) Ready() bool { return c.mirror.IsReady() }
 
+// Revision returns the revision of the state service up to which the catalog holds all changes.
+func (c *Catalog) Revision() uint64 { return c.mirror.Revision() }
+
 // Verify calls fn with nil once the catalog is known to contain everything that was committed
 // before the call, or with statestore.ErrNotVerified if that cannot be confirmed.
 func (c *Catalog) Verify(fn func(error)) { c.mirror.Verify(fn) }
--- a/internal/userapi/submissions.go
+++ b/internal/userapi/submissions.go
@@ -166,6 +166,7 @@
 // to those that arrived before it was sent, the verified status to later ones.
 func (s *submissions) accept(stored *submission, revision uint64) {
 	s.catalog.Observe(stored.jobID, stored.value, revision)
+	s.catalog.log.Info("job accepted", "job", stored.jobID, "revision", revision)
 	s.finish(stored,
 		func(waiter http1.ResponseWriter) { waiter(201, encodeAccepted(stored.jobID), 0) },
 		func(waiter http1.ResponseWriter) { s.polls.poll(stored.jobID, waiter) })
--- a/internal/workers/commands.go
+++ b/internal/workers/commands.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"strconv"
 	"time"
 
 	"lemonmoor/internal/eventloop"
@@ -82,6 +83,7 @@
 		task.Gone.Session, task.Gone.AfterSequence = worker.Session, worker.Sequence
 		attempts[i] = task.Attempt
 	}
+	r.logLaunches(worker, launchDirect, launched)
 	worker.delivery.inFlight = true
 	term := r.currentTerm()
 	r.postMessage(worker, body, tuning.CommandTimeout, func(response http1.Response, err error) {
@@ -94,6 +96,31 @@
 	})
 }
 
+// launchWay is the way in which a launch is delivered to its worker.
+type launchWay string
+
+const (
+	launchDirect   launchWay = "direct" // in a direct message
+	launchInAnswer launchWay = "answer" // in the answer to a heartbeat
+)
+
+// logLaunches logs the launches that are sent in one message, if there are any, and what allows
+// them: the token, the worker's session and the age of the knowledge of cancellations.
+func (r *Registry) logLaunches(worker *Worker, way launchWay, launched []*taskstate.Task) {
+	if len(launched) == 0 {
+		return
+	}
+	attempts := make([]string, len(launched))
+	for i, task := range launched {
+		attempts[i] = task.Name() + "@" + strconv.FormatUint(task.WireAttempt(), 10)
+	}
+	knowledgeAge, now := r.lease.KnowledgeAge(), r.runtime.Now()
+	r.metrics.AddLaunches(string(way), len(launched), knowledgeAge.Seconds())
+	r.log.Info("launches sent", "worker", worker.ID, "way", string(way), "tasks", attempts, "token", r.lease.Token(),
+		"session", worker.Session, "seq", worker.Sequence, "lease_age_ms", (now - worker.LeaseRenewedAt).Milliseconds(),
+		"heard_ms", (now - worker.LastHeartbeatAt).Milliseconds(), "knowledge_ms", knowledgeAge.Milliseconds())
+}
+
 // clearInFlightLaunches marks launches as no longer in flight. It returns the tasks whose
 // placement has not changed since the launches were sent, reusing the slice launched.
 func clearInFlightLaunches(worker *Worker, launched []*taskstate.Task, attempts []uint64) []*taskstate.Task {
--- a/internal/workers/fixture_test.go
+++ b/internal/workers/fixture_test.go
@@ -10,6 +10,7 @@
 
 	"lemonmoor/internal/http1"
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/settings"
 	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/tuning"
@@ -75,6 +76,8 @@
 	return !f.needsVerification || (f.verifiedAt >= since && f.now-f.verifiedAt <= tuning.MaxLaunchKnowledgeAge)
 }
 
+func (f *registryFixture) KnowledgeAge() time.Duration { return f.now - f.verifiedAt }
+
 func (f *registryFixture) PreviousOwnerAnswersUntil() time.Duration {
 	return f.previousOwnerAnswersUntil
 }
@@ -109,7 +112,7 @@
 	fixture := &registryFixture{token: 1, now: time.Hour}
 	config := &settings.Settings{}
 	config.Deployment.Workers.ReportS, config.Deployment.Workers.LeaseS, config.Deployment.Workers.CancelS = 5, 36, 66
-	fixture.registry = NewRegistry(Dependencies{Runtime: fixture, Lease: fixture, Tasks: fixture, Scheduler: fixture, Settings: config, Log: slog.New(slog.DiscardHandler)})
+	fixture.registry = NewRegistry(Dependencies{Runtime: fixture, Lease: fixture, Tasks: fixture, Scheduler: fixture, Settings: config, Metrics: metrics.New(), Log: slog.New(slog.DiscardHandler)})
 	index := make([]int, tasks)
 	for i := range index {
 		index[i] = i
--- a/internal/workers/gangs.go
+++ b/internal/workers/gangs.go
@@ -84,7 +84,7 @@
 		case task.State == taskstate.StateWaiting:
 			r.tasks.TaskDone(task)
 		case task.State == taskstate.StatePlaced && !task.Launch.Sent && worker != nil && worker.Tasks[task]:
-			r.endPlacement(worker, task, taskstate.LossBeforeWaiting)
+			r.endPlacement(worker, task, EvidenceNeverLaunched, taskstate.LossBeforeWaiting)
 		}
 	}
 }
--- a/internal/workers/placements.go
+++ b/internal/workers/placements.go
@@ -67,7 +67,7 @@
 // been deleted.
 func (r *Registry) DiscardTask(task *taskstate.Task) {
 	if worker := r.workers[task.WorkerID]; worker != nil {
-		r.removeTask(worker, task)
+		r.takeOff(worker, task, EvidenceRecordRemoved)
 	}
 }
 
@@ -91,30 +91,3 @@
 	}
 	task.Observed.Running, task.Observed.HasImage = false, false
 }
-
-// endPlacement ends the placement of a task that is proven not to be on its machine. The kind
-// of loss only matters for a gang.
-func (r *Registry) endPlacement(worker *Worker, task *taskstate.Task, loss taskstate.Loss) {
-	r.removeTask(worker, task)
-	task.TakeOffWorker()
-	if task.Job.Cancelled {
-		r.tasks.DropTask(task)
-		return
-	}
-	if gang := task.Job.Gang; gang != nil {
-		if gang.Done {
-			r.tasks.TaskDone(task)
-			return
-		}
-		r.gangTaskLost(task, loss)
-	}
-	r.tasks.TaskChanged(task, false)
-	r.scheduler.TaskWaiting(task)
-}
-
-// endAllPlacements ends all placements on a machine whose tasks are all proven gone.
-func (r *Registry) endAllPlacements(worker *Worker) {
-	for task := range worker.Tasks {
-		r.endPlacement(worker, task, taskstate.LossVanished)
-	}
-}
--- a/internal/workers/reconcile.go
+++ b/internal/workers/reconcile.go
@@ -159,10 +159,10 @@
 		switch {
 		case task.Gone.Session > 0 && heartbeat.Session > task.Gone.Session, isLaterSession && task.Observed.Reported:
 			// The worker killed all tasks of the earlier session.
-			registry.endPlacement(worker, task, taskstate.LossVanished)
+			registry.endPlacement(worker, task, EvidenceLaterSession, taskstate.LossVanished)
 		case c.tokenAcknowledged && !task.Launch.InDoubt && isNewerThanLaunch(heartbeat, task):
 			launchLost = launchLost || (task.Gone.Session > 0 && !task.Observed.Reported)
-			registry.endPlacement(worker, task, taskstate.LossVanished)
+			registry.endPlacement(worker, task, EvidenceNotListed, taskstate.LossVanished)
 		case task.Launch.InDoubt:
 			// The launch may still arrive; a new token makes it void.
 			registry.log.Info("launch in doubt, renewing the fencing token", "worker", worker.ID, "task", task.Name())
@@ -203,10 +203,13 @@
 	if !registry.lease.LeaseValid() || registry.isDraining(c.worker) || c.worker.Unreachable {
 		return
 	}
+	var launched []*taskstate.Task
 	for task := range c.worker.Tasks {
 		if len(c.commands) < tuning.MaxCommandsPerMessage && task.Launchable() && registry.lease.CancellationsVerifiedSince(task.PlacedAt) {
 			task.Launch.Sent, task.Gone.Session, task.Gone.AfterSequence = true, c.heartbeat.Session, c.heartbeat.Sequence
 			c.commands = append(c.commands, launchCommand(task.Name(), task.WireAttempt()))
+			launched = append(launched, task)
 		}
 	}
+	registry.logLaunches(c.worker, launchInAnswer, launched)
 }
--- a/internal/workers/registry.go
+++ b/internal/workers/registry.go
@@ -8,6 +8,7 @@
 
 	"lemonmoor/internal/eventloop"
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/settings"
 	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/tuning"
@@ -24,6 +25,8 @@
 	MayAnswer() bool
 	// RenewToken requests a new token, which invalidates all messages sent under this one.
 	RenewToken()
+	// KnowledgeAge returns the age of the newest verification that all cancellations are known.
+	KnowledgeAge() time.Duration
 	// CancellationsVerifiedSince reports whether it was recently verified that all
 	// cancellations up to a time at or after since are known. If not, it requests a
 	// verification.
@@ -69,6 +72,7 @@
 	Tasks     TaskStore
 	Scheduler Scheduler
 	Settings  *settings.Settings
+	Metrics   *metrics.Metrics
 	Log       *slog.Logger
 }
 
@@ -79,6 +83,7 @@
 	tasks     TaskStore
 	scheduler Scheduler
 	settings  *settings.Settings
+	metrics   *metrics.Metrics
 	log       *slog.Logger
 
 	workers       map[string]*Worker    // by ID
@@ -106,7 +111,7 @@
 // NewRegistry returns a registry without workers.
 func NewRegistry(d Dependencies) *Registry {
 	return &Registry{
-		runtime: d.Runtime, lease: d.Lease, tasks: d.Tasks, scheduler: d.Scheduler, settings: d.Settings, log: d.Log,
+		runtime: d.Runtime, lease: d.Lease, tasks: d.Tasks, scheduler: d.Scheduler, settings: d.Settings, metrics: d.Metrics, log: d.Log,
 		workers:              map[string]*Worker{},
 		released:             map[string]bool{},
 		zones:                map[string]*zoneState{},
@@ -224,13 +229,13 @@
 		if task.Launch.Sent {
 			r.checkLaunchedTask(worker, task, now)
 		} else if r.cannotLaunch(worker, task, now) {
-			r.endPlacement(worker, task, taskstate.LossBeforeWaiting)
+			r.endPlacement(worker, task, EvidenceNeverLaunched, taskstate.LossBeforeWaiting)
 		}
 	}
 	if len(worker.Tasks) > 0 && !worker.LeaseExpired && now > r.leaseExpiresAt(worker) {
 		r.log.Info("worker lease expired", "worker", worker.ID, "count", len(worker.Tasks))
 		worker.LeaseExpired = true
-		r.endAllPlacements(worker)
+		r.endAllPlacements(worker, EvidenceLeaseExpired)
 	}
 }
 
--- a/internal/workers/release.go
+++ b/internal/workers/release.go
@@ -25,7 +25,7 @@
 	if worker == nil {
 		return
 	}
-	r.endAllPlacements(worker)
+	r.endAllPlacements(worker, EvidenceMachineReleased)
 	delete(r.workers, id)
 	r.sortedWorkers = slices.DeleteFunc(r.sortedWorkers, func(other *Worker) bool { return other == worker })
 	delete(r.commandsDue, worker)
--- a/internal/workers/task_ends.go
+++ b/internal/workers/task_ends.go
@@ -42,7 +42,7 @@
 		c.forgetIfTokenAcknowledged(reported)
 		return
 	}
-	registry.endPlacement(c.worker, task, loss)
+	registry.endPlacement(c.worker, task, EvidenceExited, loss)
 	c.forgetIfTokenAcknowledged(reported)
 }
 
@@ -55,20 +55,20 @@
 	task.Job.ConsecutiveFailures = 0
 	switch {
 	case task.Job.Gang != nil && !task.Job.Cancelled:
-		registry.removeTask(c.worker, task)
+		registry.takeOff(c.worker, task, EvidenceExited)
 		registry.tasks.TaskDone(task)
 		registry.GangDone(task.Job)
 	case task.Job.Spec.IsService():
 		// A replica of a service is never done, so it is placed again.
-		registry.endPlacement(c.worker, task, taskstate.LossExited)
+		registry.endPlacement(c.worker, task, EvidenceExited, taskstate.LossExited)
 		c.forget(reported)
 	case task.Job.Cancelled:
-		registry.removeTask(c.worker, task)
+		registry.takeOff(c.worker, task, EvidenceExited)
 		task.State, task.WorkerID = taskstate.StateWaiting, ""
 		registry.tasks.DropTask(task)
 		c.forget(reported)
 	default:
-		registry.removeTask(c.worker, task)
+		registry.takeOff(c.worker, task, EvidenceExited)
 		registry.tasks.TaskDone(task)
 	}
 }
