Shard: a status keeps its page although two commits with it are carried out in reverse

A process that starts reads a completed task as placed, or a placed one as waiting, and the next owner starts it again; nothing tells that the status had been recorded once.

Cause: which page of the log holds a task's newest status was judged by two rules. The owner went by the order in which it had sent its commits, the copies that every node keeps by the revisions at which the state service had carried them out. A status is sent twice when a commit with an older one is refused while the newer one is on its way: the refused commit is repeated with the present status. If a slow state service carries out the repetition first, the owner and its own copy name different pages. Both hold the status, until the owner overwrites the one it takes for superseded. With its next token it reads its records from the copy, takes the other page, the only one left with the status, for superseded, and overwrites that too.

Evidence: the steps above are a test. Before the fix it failed with "a process that starts reads 0 tasks done and 2 placed, want 1 and 2".

Fix: the owner judges by the readers' rule, in one place (LogPosition.Record): the newest status, and of equal ones the highest revision. Numbers of commits are gone.

--- a/internal/shard/commit_results.go
+++ b/internal/shard/commit_results.go
@@ -26,7 +26,7 @@
 	w.pages.release(commit.pages, revision)
 	w.pacing.refusals = 0
 	for _, written := range commit.statuses {
-		w.markDurable(commit.sequence, written)
+		w.markDurable(written, revision)
 	}
 	w.flush()
 }
@@ -72,25 +72,19 @@
 	w.deps.Runtime.After(tuning.MaxStateBackoff, w.terms.Guard(w.renewToken))
 }
 
-// markDurable records that a status of a task was committed by the commit with the given
-// sequence number. It ignores tasks whose record was removed or read again since.
-func (w *logWriter) markDurable(sequence uint64, written writtenStatus) {
-	task := written.task
+// markDurable records that a status of a task was committed at a revision. It ignores tasks whose
+// record was removed or read again since.
+func (w *logWriter) markDurable(written writtenStatus, revision uint64) {
+	task, status := written.task, written.status
 	if !w.tasks.contains(task.Group) {
 		return
 	}
-	if written.state == taskstate.StatePlaced && task.State == taskstate.StatePlaced && task.Attempt == written.attempt && !task.PlacementDurable {
+	if status.State == taskstate.StatePlaced && task.State == taskstate.StatePlaced && task.Attempt == status.Attempt && !task.PlacementDurable {
 		task.PlacementDurable = true
 		w.deps.Handler.PlacementDurable(task)
 	}
-	if sequence < task.Log.Commit {
-		return // a later commit, with a newer status, was answered first
-	}
-	task.Log.Commit = sequence
-	w.pages.removeTask(task.Log.Page)
-	task.Log.Page = written.page
-	w.pages.addTask(task.Log.Page, task)
-	if written.state == taskstate.StateDone {
+	if status.State == taskstate.StateDone {
 		task.DoneDurable = true
 	}
+	w.pages.record(task, written.page, status, revision)
 }
--- a/internal/shard/log_pages.go
+++ b/internal/shard/log_pages.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// record records that a status of a task was written to a page at a revision. Commits that overlap
+// may be carried out, and answered, in any order.
+func (p *logPages) record(task *taskstate.Task, number int, status taskstate.TaskStatus, revision uint64) {
+	previous := task.Log.Page
+	if task.Log.Record(number, status, revision) {
+		p.removeTask(previous)
+		p.addTask(number, task)
+	}
+}
+
 // reserve returns the numbers of count pages to write: first pages that hold no newest
 // status, then new ones. Each page stays reserved until release is called for it.
 func (p *logPages) reserve(count int) []int {
--- a/internal/shard/log_pages_test.go
+++ b/internal/shard/log_pages_test.go
@@ -1,19 +1,23 @@
 package shard
 
 import (
+	"log/slog"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
+	"lemonmoor/internal/statetest"
 	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/tuning"
 )
 
 // pageWrite is a commit of one page that was executed and is not answered yet.
 type pageWrite struct {
-	sequence uint64
+	sequence uint64 // also the revision of the commit
 	pages    []int
 	tasks    []*taskstate.Task
+	statuses map[*taskstate.Task]taskstate.TaskStatus // the status number is the attempt
 }
 
 // pagesModel models a log in which every status has a number, next to the code under test.
@@ -88,7 +92,7 @@
 // commit writes drawn tasks to a page immediately; answer delivers the answer later.
 func (m *pagesModel) commit(t *rapid.T) {
 	m.sequence++
-	write := pageWrite{sequence: m.sequence}
+	write := pageWrite{sequence: m.sequence, statuses: map[*taskstate.Task]taskstate.TaskStatus{}}
 	var list []*taskstate.Task
 	if len(m.inFlight) == 0 {
 		list = append(list, m.pages.tasksToMove()...)
@@ -105,6 +109,7 @@
 			write.tasks = append(write.tasks, task)
 		}
 		statuses[task] = m.newestStatus[task]
+		write.statuses[task] = taskstate.TaskStatus{State: taskstate.StatePlaced, Attempt: uint64(statuses[task])}
 	}
 	m.statusesByPage[write.pages[0]] = statuses
 	for _, task := range write.tasks {
@@ -119,13 +124,7 @@
 	m.inFlight = append(m.inFlight[:index:index], m.inFlight[index+1:]...)
 	m.pages.release(write.pages, write.sequence)
 	for _, task := range write.tasks {
-		if write.sequence < task.Log.Commit {
-			continue
-		}
-		task.Log.Commit = write.sequence
-		m.pages.removeTask(task.Log.Page)
-		task.Log.Page = write.pages[0]
-		m.pages.addTask(task.Log.Page, task)
+		m.pages.record(task, write.pages[0], write.statuses[task], write.sequence)
 	}
 }
 
@@ -146,3 +145,41 @@
 		t.Fatalf("log of %d pages for %d tasks, want at most %d pages", len(m.pages.pages), len(m.tasks), 2*tuning.LogCompactionPages)
 	}
 }
+
+// TestRepeatedStatusIsNotLostWithItsPage guards against overwriting the only page with a task's
+// newest status, after the state service has carried out two commits with it in reverse order.
+func TestRepeatedStatusIsNotLostWithItsPage(t *testing.T) {
+	service, node := newShardOwner(t, 3)
+	tasks := node.tasks.Job(jobID).Tasks
+	service.Hold = writesLogPage
+	node.place("vm-1")
+	service.Run(time.Second)
+	node.tasks.TaskDone(tasks[0])
+	node.tasks.TaskChanged(tasks[0], true)
+	node.tasks.Flush()
+	service.Run(time.Second)
+	service.Held[0].Answer(statetest.Reply(429, nil), nil) // the completion is written again
+	service.Run(5 * time.Second)
+	if len(service.Held) != 3 {
+		t.Fatalf("%d commits of log pages sent, want 3", len(service.Held))
+	}
+	last, first := service.Commit(service.Held[2]), service.Commit(service.Held[1])
+	service.Held[1].Answer(first, nil)
+	service.Held[2].Answer(last, nil)
+	service.Hold = nil
+	for _, index := range []int{1, 2} {
+		placed := node.tasks.Job(jobID).Tasks[index]
+		placed.PlaceOn("vm-2")
+		node.tasks.TaskChanged(placed, true)
+		node.tasks.Flush()
+		service.Run(time.Second)
+		node.leases.RenewToken(0)
+		service.Run(5 * time.Second)
+	}
+	fresh := taskstate.NewStore(service, newStateClient(service), slog.New(slog.DiscardHandler))
+	fresh.Start()
+	service.Run(time.Second)
+	if done, placed := fresh.Progress(jobID); done != 1 || placed != 2 {
+		t.Errorf("a process that starts reads %d tasks done and %d placed, want 1 and 2", done, placed)
+	}
+}
--- a/internal/shard/log_writer.go
+++ b/internal/shard/log_writer.go
@@ -18,26 +18,23 @@
 	terms      *term.Counter
 	tasks      *workingSet
 
-	token          uint64 // the fencing token of the term
-	changes        changeSet
-	pages          logPages
-	pacing         commitPacing
-	commitSequence uint64 // incremented with every commit, never reset between terms
+	token   uint64 // the fencing token of the term
+	changes changeSet
+	pages   logPages
+	pacing  commitPacing
 }
 
 // pageCommit is a commit of log pages.
 type pageCommit struct {
-	sequence uint64
 	pages    []int
 	statuses []writtenStatus
 }
 
 // writtenStatus is a task's status as it was written to a page.
 type writtenStatus struct {
-	task    *taskstate.Task
-	state   taskstate.State
-	attempt uint64
-	page    int
+	task   *taskstate.Task
+	status taskstate.TaskStatus
+	page   int
 }
 
 // endTerm discards the changes and the state of the log. The term counter drops the answers
@@ -138,11 +135,9 @@
 		operations = append(operations, statestore.Operation{PutKey: key, Value: packed.Value})
 		for _, task := range packed.Tasks {
 			task.Log.Dirty = false
-			commit.statuses = append(commit.statuses, writtenStatus{task, task.State, task.Attempt, number})
+			commit.statuses = append(commit.statuses, writtenStatus{task, task.Status(), number})
 		}
 	}
-	w.commitSequence++
-	commit.sequence = w.commitSequence
 	w.pacing.recordCommit(w.deps.Runtime.Now(), len(operations))
 	w.deps.State.CommitWithTimeout(conditions, operations, w.deps.State.CommitTimeout(),
 		term.GuardValue(w.terms, func(result statestore.CommitResult) { w.handleResult(commit, result) }))
--- a/internal/shard/node_test.go
+++ b/internal/shard/node_test.go
@@ -31,9 +31,7 @@
 	log := slog.New(slog.DiscardHandler)
 	nodeSettings := &settings.Settings{}
 	nodeSettings.Deployment.State.WriteRPS = 1000
-	state := statestore.New(service, statetest.Address, log)
-	state.FreshnessCheckInterval = 0
-	state.SetLimits(statestore.Limits{MaxOperations: 10, MaxValueBytes: 1 << 16, FutureWriteShare: 1})
+	state := newStateClient(service)
 	node := &testNode{}
 	node.leases = statestore.NewLeaseManager(service, state, log, statestore.LeaseConfig{Node: "node-0", Nonce: 1, ShardCount: 1, Observer: node})
 	catalog := userapi.NewCatalog(service, state, nil, log, node)
@@ -49,6 +47,14 @@
 	return node
 }
 
+// newStateClient returns a client of a state service for the tests.
+func newStateClient(service *statetest.Service) *statestore.Client {
+	state := statestore.New(service, statetest.Address, slog.New(slog.DiscardHandler))
+	state.FreshnessCheckInterval = 0
+	state.SetLimits(statestore.Limits{MaxOperations: 10, MaxValueBytes: 1 << 16, FutureWriteShare: 1})
+	return state
+}
+
 // JobChanged forwards a changed job to the task store.
 func (n *testNode) JobChanged(entry *userapi.Entry) { n.tasks.JobChanged(entry) }
 
--- a/internal/taskstate/job.go
+++ b/internal/taskstate/job.go
@@ -92,7 +92,8 @@
 // load sets the fields of a new task from its stored status.
 func (t *Task) load(status TaskStatus, logPage int) {
 	t.State, t.Attempt, t.WorkerID = status.State, status.Attempt, status.WorkerID
-	t.Observed.HasRun, t.Log.Page = status.Running, logPage
+	t.Observed.HasRun = status.Running
+	t.Log = LogPosition{Page: logPage, Attempt: status.Attempt, State: status.State, Running: status.Running}
 	t.DoneDurable = t.State == StateDone
 	if t.State == StatePlaced {
 		t.PlacementDurable, t.Launch.Sent = true, true
--- a/internal/taskstate/task.go
+++ b/internal/taskstate/task.go
@@ -140,19 +140,41 @@
 	AvoidWorker string // a worker on which the task has failed; "" for none
 }
 
-// LogPosition is the position of a task's status in the shard's log.
+// LogPosition is the position of a task's newest durable status in the shard's log.
 type LogPosition struct {
-	// Page is the number of the log page with the newest committed status, -1 for none.
+	// Page is the number of the log page with the status, -1 for none.
 	Page int
+	// Revision is the revision at which this term's owner wrote the status there, 0 if it was
+	// written earlier.
+	Revision uint64
+	// Attempt, State and Running are those of the status.
+	Attempt uint64
+	State   State
+	Running bool
 	// Dirty is set when the task has changed since it was last written.
 	Dirty bool
-	// Commit is the sequence number of the newest durable commit of the task's status.
-	Commit uint64
+}
+
+// Record sets the position to the page on which a commit at a revision has written a status. It
+// reports false, and leaves the position unchanged, if readers of the log take the status from
+// the present page: it is newer there, or the same and written at a higher revision.
+func (p *LogPosition) Record(page int, status TaskStatus, revision uint64) bool {
+	recorded := TaskStatus{State: p.State, Attempt: p.Attempt, Running: p.Running}
+	if recorded.supersedes(status) || (!status.supersedes(recorded) && revision < p.Revision) {
+		return false
+	}
+	*p = LogPosition{Page: page, Revision: revision, Attempt: status.Attempt, State: status.State, Running: status.Running, Dirty: p.Dirty}
+	return true
 }
 
 // Name returns the name that workers use for the task: JOB/INDEX.
 func (t *Task) Name() string { return t.Job.Spec.ID + "/" + strconv.Itoa(t.Index) }
 
+// Status returns the task's status as it is written to the log.
+func (t *Task) Status() TaskStatus {
+	return TaskStatus{State: t.State, Attempt: t.Attempt, WorkerID: t.WorkerID, Running: t.State == StatePlaced && t.Observed.HasRun}
+}
+
 // PlaceOn assigns a waiting task to a worker and begins a new attempt. It launches nothing.
 func (t *Task) PlaceOn(workerID string) {
 	t.State, t.WorkerID = StatePlaced, workerID
