Workers: the lease of a session that was not known runs from when it is first seen

Cause: the registry measured a worker's lease from the last heartbeat that it had answered, also after the worker had begun another session. A worker that counts as unreachable is not answered; its lease expires, and its heartbeats show the next session. When a new token then makes the owner take the worker for reachable and the worker answers the announcement, it gets tasks in that session. The next tick found the lease of the session before expired, ended the placements and gave the tasks to other machines while they ran.

Evidence: by reading, then TestTasksOfANewSessionOutliveTheEarlierSessionsLease, which failed with "state waiting while the worker runs map[wk-1/0:1], want placed".

Fix: every place that learns of a session says so to observeSession, and the lease is extended to that moment, which no session known only then can have begun after.

--- a/internal/workers/announcements.go
+++ b/internal/workers/announcements.go
@@ -80,7 +80,7 @@
 		r.setMachine(worker, answer)
 	}
 	if worker.Session == 0 {
-		worker.Session = answer.Session
+		r.observeSession(worker, answer.Session)
 	}
 	worker.LastHeartbeatAt = r.runtime.Now()
 	if answer.Session == worker.Session && answer.Sequence > worker.Sequence {
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -71,7 +71,8 @@
 // answerWithoutRecords answers a heartbeat while the task records are still being read. The
 // answer renews the worker's lease and halts tasks of cancelled jobs.
 func (r *Registry) answerWithoutRecords(worker *Worker, heartbeat *Heartbeat) (status int, body []byte) {
-	worker.Session, worker.Sequence, worker.Token = heartbeat.Session, heartbeat.Sequence, heartbeat.Token
+	r.observeSession(worker, heartbeat.Session)
+	worker.Sequence, worker.Token = heartbeat.Sequence, heartbeat.Token
 	if r.mayOutliveCancellation(worker, heartbeat) {
 		return statusNotOwner, NotOwnerBody
 	}
--- a/internal/workers/lease.go
+++ b/internal/workers/lease.go
@@ -13,6 +13,19 @@
 // extendLease records that the lease may have been renewed as late as at.
 func (s *SessionState) extendLease(at time.Duration) { s.LeaseRenewedAt = max(s.LeaseRenewedAt, at) }
 
+// observeSession records the session that a message of a worker shows. The lease of a session that
+// was not known runs from its beginning, even if none of its heartbeats is answered.
+func (r *Registry) observeSession(worker *Worker, session uint64) {
+	if session <= worker.Session {
+		return
+	}
+	now := r.runtime.Now()
+	r.log.Info("worker session seen", "worker", worker.ID, "session", session, "earlier", worker.Session,
+		"lease_age_ms", (now - worker.LeaseRenewedAt).Milliseconds())
+	worker.Session, worker.SessionSeenAt = session, now
+	worker.extendLease(now)
+}
+
 // renewLease records that a heartbeat is answered, so that the worker's lease may run from
 // now. A heartbeat below the current token never moves the renewal time to earlier: until the
 // worker acknowledges our token, an earlier owner may renew the lease too, until it stops
--- a/internal/workers/lease_test.go
+++ b/internal/workers/lease_test.go
@@ -97,3 +97,37 @@
 		t.Errorf("task considered gone at %v, want not before the end of the worker's lease, %v", goneAt, leaseEnd)
 	}
 }
+
+// TestTasksOfANewSessionOutliveTheEarlierSessionsLease guards against ending placements of a
+// session, none of whose heartbeats was answered yet, with the lease of the session before.
+func TestTasksOfANewSessionOutliveTheEarlierSessionsLease(t *testing.T) {
+	fixture := newRegistryFixture(1)
+	worker := fixture.exchangeHeartbeats(t)
+	fixture.beginTerm()
+	// Neither announcements nor answers reach the worker, which counts as unreachable after
+	// UnreachableAfterHeartbeats and is answered no more from then on.
+	answered := fixture.now + (tuning.UnreachableAfterHeartbeats-1)*5*time.Second
+	for fixture.now < answered+fixture.registry.settings.WorkerLease() {
+		fixture.now += 5 * time.Second
+		fixture.registry.HandleHeartbeat(fixture.heartbeat())
+		fixture.registry.Tick()
+	}
+	if !worker.Unreachable || worker.Session != 2 {
+		t.Fatalf("at the end of the first session's lease: unreachable %v, session %d, want true and 2", worker.Unreachable, worker.Session)
+	}
+	fixture.calls = nil
+	fixture.beginTerm()
+	announcement := fixture.sendDirectMessage(t)
+	announcement.fn(fixture.deliverDirect(announcement), nil)
+	if !fixture.registry.AcceptsTasks(worker) {
+		t.Fatal("the worker has answered the announcement and accepts no tasks")
+	}
+	task := fixture.placeTask(0)
+	launch := fixture.sendDirectMessage(t)
+	launch.fn(fixture.deliverDirect(launch), nil)
+	fixture.now += time.Second // less than a heartbeat interval
+	fixture.registry.Tick()
+	if len(fixture.worker.tasks) != 1 || task.State != taskstate.StatePlaced {
+		t.Errorf("state %v while the worker runs %v, want %v", task.State, fixture.worker.tasks, taskstate.StatePlaced)
+	}
+}
--- a/internal/workers/reconcile.go
+++ b/internal/workers/reconcile.go
@@ -25,7 +25,8 @@
 // its answer carries launches; see reconcileCommandAnswer.
 func (r *Registry) reconcileHeartbeat(worker *Worker, heartbeat *Heartbeat) []Command {
 	isLaterSession := heartbeat.Session > worker.Session && worker.HasReported && worker.Session > 0
-	worker.Session, worker.Sequence = heartbeat.Session, heartbeat.Sequence
+	r.observeSession(worker, heartbeat.Session)
+	worker.Sequence = heartbeat.Sequence
 	rec := r.beginReconciliation(worker, heartbeat)
 	listed := make(taskSet, len(heartbeat.Tasks))
 	rec.processListed(listed)
--- a/internal/workers/worker.go
+++ b/internal/workers/worker.go
@@ -36,6 +36,7 @@
 type SessionState struct {
 	HasReported     bool          // to this process
 	Session         uint64        // of its newest heartbeat
+	SessionSeenAt   time.Duration // when a message of that session first arrived
 	Sequence        uint64        // of its newest heartbeat
 	Token           uint64        // highest token that it has shown
 	LastHeartbeatAt time.Duration // when its newest heartbeat arrived
