Invariants: what ends a placement, a page's statuses and quotas are asserted at run time

Cause: a placement was ended wherever some message suggested it, and nothing looked whether a task that was taken for gone came back, whether owner and readers of a log agree, or whether the records hold a team to its quota. A violation showed only in what users saw.

Change: every placement ends in Registry.takeOff, which checks the typed evidence against the worker's session, launch and token, and keeps the task placed if they contradict it. An attempt that was proven gone and is listed as alive later, a task placed twice, statuses whose page the copy of the log does not share, and open tasks in records above a quota are counted in lemonmoor_invariant_violations_total and logged as errors. The quota is recounted from the records and the catalog, the pages from the copy that the watch feeds. The process goes on.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -124,6 +124,7 @@
 			continue
 		}
 		owner.workers.Tick()
+		owner.tasks.CheckLog()
 		owner.rounds.needed = true
 		unreachable, reporting := owner.workers.CountUnreachable()
 		total.reporting += reporting
--- a/internal/controller/shard_owner.go
+++ b/internal/controller/shard_owner.go
@@ -39,7 +39,7 @@
 	owner := &shardOwner{node: node, shardIndex: shardIndex, statuses: statusSender{lastSent: map[string]fleet.MachineStatus{}}}
 	owner.tasks = shard.NewTaskStore(shardIndex, shard.Dependencies{
 		Runtime: node.runtime, State: node.stateClient, Leases: node.leases, Catalog: node.catalog, Records: node.taskStates,
-		Settings: node.settings, Handler: owner, Log: node.log,
+		Settings: node.settings, Handler: owner, Metrics: node.metrics, Log: node.log,
 	})
 	owner.workers = workers.NewRegistry(workers.Dependencies{
 		Runtime: node.runtime, Lease: owner, Tasks: owner.tasks, Scheduler: owner, Settings: node.settings, Metrics: node.metrics,
--- a/internal/leader/fixture_test.go
+++ b/internal/leader/fixture_test.go
@@ -66,6 +66,7 @@
 	store    *taskstate.Store
 	fleet    *fleet.Fleet
 	leader   *Leader
+	metrics  *metrics.Metrics
 	statuses uint64
 }
 
@@ -88,7 +89,7 @@
 		}
 		return statetest.Reply(200, map[string]any{"hosts": []any{}})
 	}
-	node := &node{service: service, runtime: &processRuntime{Service: service}, config: config}
+	node := &node{service: service, runtime: &processRuntime{Service: service}, config: config, metrics: metrics.New()}
 	state := statestore.New(node.runtime, statetest.Address, log)
 	state.FreshnessCheckInterval = 0
 	state.SetLimits(statestore.Limits{MaxOperations: config.maxOperations, MaxValueBytes: 1 << 16, FutureWriteShare: 1})
@@ -101,7 +102,7 @@
 	node.fleet = fleet.New(fleet.Dependencies{Runtime: node.runtime, Address: "cloud", Leases: node.leases, Loads: machines, Settings: platform, Log: log})
 	node.leader = New(Dependencies{
 		Runtime: node.runtime, State: state, Leases: node.leases, Catalog: node.catalog, Records: node.store,
-		Fleet: node.fleet, Machines: machines, Settings: platform, Metrics: metrics.New(), Log: log,
+		Fleet: node.fleet, Machines: machines, Settings: platform, Metrics: node.metrics, Log: log,
 	})
 	node.store.Observe(node.leader)
 	node.fleet.Start()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -76,6 +76,7 @@
 	recalls       recallRequests
 	ends          endQueue
 	garbage       garbage
+	quotas        quotaCheck
 }
 
 // New returns a Leader that does not hold the leadership.
@@ -103,6 +104,7 @@
 	l.unseenRecords = map[string]*taskstate.Record{}
 	l.recalls = recallRequests{}
 	l.ends.jobs, l.garbage.keys = nil, nil
+	l.quotas = quotaCheck{checkedAt: l.runtime.Now(), reported: map[string]bool{}}
 }
 
 // BeginTerm starts a term under a fencing token. It loads the state once the copies of records
@@ -150,6 +152,7 @@
 		return
 	}
 	l.pacing.lastRoundAt = now
+	l.checkQuotas()
 	if l.pacing.requested {
 		l.pacing.requested = false
 		if l.dispatch() {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -33,9 +33,12 @@
 	// InvariantGoneTaskNotListed is violated when a worker lists a task as alive after the task
 	// was considered gone from it.
 	InvariantGoneTaskNotListed Invariant = "gone_task_not_listed"
-	// InvariantExpiredSessionSilent is violated when a worker executes a command in a session
-	// whose lease was considered expired before the command was sent.
-	InvariantExpiredSessionSilent Invariant = "expired_session_silent"
+	// InvariantEvidenceHolds is violated when a placement is to end on evidence that the state of
+	// its worker contradicts.
+	InvariantEvidenceHolds Invariant = "evidence_holds"
+	// InvariantStatusOnPage is violated when the owner of a shard and the readers of its log take a
+	// task's status from different pages.
+	InvariantStatusOnPage Invariant = "status_on_page"
 	// InvariantPlacedOnce is violated when a task that is placed on a machine, or is over, is to
 	// be placed on another one.
 	InvariantPlacedOnce Invariant = "placed_once"
@@ -87,7 +90,7 @@
 		}, []string{"invariant"}),
 	}
 	created.registry.MustRegister(created.leaderToken, created.shardTokens, created.launches, created.placementsEnded, created.tokensAcquired, created.dispatchedTasks, created.knowledgeAge, created.violations)
-	for _, invariant := range []Invariant{InvariantGoneTaskNotListed, InvariantExpiredSessionSilent, InvariantPlacedOnce, InvariantWithinQuota} {
+	for _, invariant := range []Invariant{InvariantGoneTaskNotListed, InvariantEvidenceHolds, InvariantStatusOnPage, InvariantPlacedOnce, InvariantWithinQuota} {
 		created.violations.WithLabelValues(string(invariant)) // reported as 0 before the first violation
 	}
 	return created
@@ -120,11 +123,6 @@
 // AddDispatched counts tasks in records that were committed.
 func (m *Metrics) AddDispatched(tasks int) { m.dispatchedTasks.Add(float64(tasks)) }
 
-// AddViolation counts a violation of an invariant.
-func (m *Metrics) AddViolation(invariant Invariant) {
-	m.violations.WithLabelValues(string(invariant)).Inc()
-}
-
 // Encode returns all metrics in the text format of Prometheus.
 func (m *Metrics) Encode() ([]byte, error) {
 	families, err := m.registry.Gather()
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"log/slog"
 	"strings"
 	"testing"
 )
@@ -9,7 +10,7 @@
 // from a missing one: every invariant is reported from the start.
 func TestViolationsAreReportedBeforeTheFirst(t *testing.T) {
 	m := New()
-	m.AddViolation(InvariantWithinQuota)
+	m.ReportViolation(slog.New(slog.DiscardHandler), InvariantWithinQuota)
 	text, err := m.Encode()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/shard/commit_results.go
+++ b/internal/shard/commit_results.go
@@ -25,6 +25,7 @@
 	w.pacing.inFlight--
 	w.pages.release(commit.pages, revision)
 	w.pacing.refusals = 0
+	w.check.newestRevision = max(w.check.newestRevision, revision)
 	for _, written := range commit.statuses {
 		w.markDurable(written, revision)
 	}
--- a/internal/shard/log_pages_test.go
+++ b/internal/shard/log_pages_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/statetest"
 	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/tuning"
@@ -149,37 +150,72 @@
 // TestRepeatedStatusIsNotLostWithItsPage guards against overwriting the only page with a task's
 // newest status, after the state service has carried out two commits with it in reverse order.
 func TestRepeatedStatusIsNotLostWithItsPage(t *testing.T) {
-	service, node := newShardOwner(t, 3)
-	tasks := node.tasks.Job(jobID).Tasks
-	service.Hold = writesLogPage
-	node.place("vm-1")
-	service.Run(time.Second)
-	node.tasks.TaskDone(tasks[0])
-	node.tasks.TaskChanged(tasks[0], true)
-	node.tasks.Flush()
-	service.Run(time.Second)
-	service.Held[0].Answer(statetest.Reply(429, nil), nil) // the completion is written again
-	service.Run(5 * time.Second)
-	if len(service.Held) != 3 {
-		t.Fatalf("%d commits of log pages sent, want 3", len(service.Held))
-	}
-	last, first := service.Commit(service.Held[2]), service.Commit(service.Held[1])
-	service.Held[1].Answer(first, nil)
-	service.Held[2].Answer(last, nil)
-	service.Hold = nil
-	for _, index := range []int{1, 2} {
-		placed := node.tasks.Job(jobID).Tasks[index]
-		placed.PlaceOn("vm-2")
-		node.tasks.TaskChanged(placed, true)
-		node.tasks.Flush()
-		service.Run(time.Second)
-		node.leases.RenewToken(0)
-		service.Run(5 * time.Second)
-	}
-	fresh := taskstate.NewStore(service, newStateClient(service), slog.New(slog.DiscardHandler))
-	fresh.Start()
+	for _, test := range []struct {
+		name         string
+		change       func(*testNode, *taskstate.Task)
+		done, placed int // as a process that starts has to read them
+	}{
+		{"completion", func(node *testNode, task *taskstate.Task) { node.tasks.TaskDone(task) }, 1, 2},
+		{"placement", func(_ *testNode, task *taskstate.Task) {
+			task.TakeOffWorker()
+			task.PlaceOn("vm-3")
+		}, 0, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			service, node := newShardOwner(t, 3)
+			service.Hold = writesLogPage
+			task := node.place("vm-1")
+			service.Run(time.Second)
+			test.change(node, task)
+			node.tasks.TaskChanged(task, true)
+			node.tasks.Flush()
+			service.Run(time.Second)
+			service.Held[0].Answer(statetest.Reply(429, nil), nil) // the status is written again
+			service.Run(5 * time.Second)
+			if len(service.Held) != 3 {
+				t.Fatalf("%d commits of log pages sent, want 3", len(service.Held))
+			}
+			last, first := service.Commit(service.Held[2]), service.Commit(service.Held[1])
+			service.Held[1].Answer(first, nil)
+			service.Held[2].Answer(last, nil)
+			service.Hold = nil
+			for _, index := range []int{1, 2} {
+				placed := node.tasks.Job(jobID).Tasks[index]
+				placed.PlaceOn("vm-2")
+				node.tasks.TaskChanged(placed, true)
+				node.tasks.Flush()
+				service.Run(time.Second)
+				node.leases.RenewToken(0)
+				service.Run(5 * time.Second)
+			}
+			fresh := taskstate.NewStore(service, newStateClient(service), slog.New(slog.DiscardHandler))
+			fresh.Start()
+			service.Run(time.Second)
+			if done, placed := fresh.Progress(jobID); done != test.done || placed != test.placed {
+				t.Errorf("a process that starts reads %d tasks done and %d placed, want %d and %d", done, placed, test.done, test.placed)
+			}
+		})
+	}
+}
+
+// TestStatusOnAnotherPageIsReportedAndWrittenAgain guards against an owner that takes a status from
+// another page than the readers of the log, unnoticed.
+func TestStatusOnAnotherPageIsReportedAndWrittenAgain(t *testing.T) {
+	service, node := newShardOwner(t, 1)
+	task := node.place("vm-1")
 	service.Run(time.Second)
-	if done, placed := fresh.Progress(jobID); done != 1 || placed != 2 {
-		t.Errorf("a process that starts reads %d tasks done and %d placed, want 1 and 2", done, placed)
+	node.tasks.CheckLog()
+	metricsOfNode := node.tasks.deps.Metrics
+	if got := metricsOfNode.Violations(metrics.InvariantStatusOnPage); got != 0 {
+		t.Fatalf("after a placement: %d violations, want 0", got)
+	}
+	task.Log.Page++ // the copy of the log has it on the page before
+	service.AdvanceClock(tuning.LogCheckInterval)
+	node.tasks.CheckLog()
+	if got := metricsOfNode.Violations(metrics.InvariantStatusOnPage); got != 1 {
+		t.Errorf("with the status on another page: %d violations, want 1", got)
+	}
+	if !task.Log.Dirty {
+		t.Error("the status is not written again")
 	}
 }
--- a/internal/shard/log_writer.go
+++ b/internal/shard/log_writer.go
@@ -22,6 +22,7 @@
 	changes changeSet
 	pages   logPages
 	pacing  commitPacing
+	check   logCheck
 }
 
 // pageCommit is a commit of log pages.
@@ -42,6 +43,7 @@
 func (w *logWriter) endTerm() {
 	w.token = 0
 	w.changes.tasks = nil
+	w.check = logCheck{}
 	w.pacing.endTerm()
 	w.pages = logPages{revisionOf: func(page int) uint64 {
 		return w.deps.Records.PageRevision(w.shardIndex, page)
--- a/internal/shard/node_test.go
+++ b/internal/shard/node_test.go
@@ -1,12 +1,14 @@
 package shard
 
 import (
+	"bytes"
 	"log/slog"
 	"strings"
 	"testing"
 	"time"
 
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/settings"
 	"lemonmoor/internal/statestore"
 	"lemonmoor/internal/statetest"
@@ -22,23 +24,24 @@
 	token     uint64
 	termCount int // number of tokens acquired
 
+	errors  bytes.Buffer      // log lines at level error
 	durable []*taskstate.Task // in the order in which their placements became durable
 	waiting []*taskstate.Task // in the order in which they were announced
 }
 
 // newTestNode returns a node that campaigns for leadership and then acquires the shard.
 func newTestNode(service *statetest.Service) *testNode {
-	log := slog.New(slog.DiscardHandler)
+	node := &testNode{}
+	log := slog.New(slog.NewTextHandler(&node.errors, &slog.HandlerOptions{Level: slog.LevelError}))
 	nodeSettings := &settings.Settings{}
 	nodeSettings.Deployment.State.WriteRPS = 1000
 	state := newStateClient(service)
-	node := &testNode{}
 	node.leases = statestore.NewLeaseManager(service, state, log, statestore.LeaseConfig{Node: "node-0", Nonce: 1, ShardCount: 1, Observer: node})
 	catalog := userapi.NewCatalog(service, state, nil, log, node)
 	node.store = taskstate.NewStore(service, state, log)
 	node.tasks = NewTaskStore(0, Dependencies{
 		Runtime: service, State: state, Leases: node.leases, Catalog: catalog, Records: node.store,
-		Settings: nodeSettings, Handler: node, Log: log,
+		Settings: nodeSettings, Handler: node, Metrics: metrics.New(), Log: log,
 	})
 	node.store.Observe(node.tasks)
 	catalog.Start()
--- a/internal/shard/taskstore.go
+++ b/internal/shard/taskstore.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"lemonmoor/internal/eventloop"
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/settings"
 	"lemonmoor/internal/statestore"
 	"lemonmoor/internal/taskstate"
@@ -48,6 +49,7 @@
 	Records  *taskstate.Store
 	Settings *settings.Settings
 	Handler  TaskHandler
+	Metrics  *metrics.Metrics
 	Log      *slog.Logger
 }
 
--- a/internal/workers/placement_end.go
+++ b/internal/workers/placement_end.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/taskstate"
 )
 
@@ -49,11 +50,40 @@
 	return "evidence " + strconv.Itoa(int(e))
 }
 
-// takeOff removes a task from its machine. Every placement ends here, whatever becomes of the
-// task.
-func (r *Registry) takeOff(worker *Worker, task *taskstate.Task, evidence Evidence) {
+// takeOff removes a task from its machine, if the evidence holds, and reports whether it did. Every
+// placement ends here, whatever becomes of the task.
+func (r *Registry) takeOff(worker *Worker, task *taskstate.Task, evidence Evidence) bool {
+	if !r.evidenceHolds(worker, task, evidence) {
+		r.metrics.ReportViolation(r.log, metrics.InvariantEvidenceHolds, "worker", worker.ID, "task", task.Name(),
+			"attempt", task.WireAttempt(), "evidence", evidence.String(), "session", worker.Session, "launch_session", task.Gone.Session)
+		return false
+	}
 	r.logPlacementEnd(worker, task, evidence)
+	worker.gone.record(task, evidence, worker)
 	r.removeTask(worker, task)
+	return true
+}
+
+// evidenceHolds checks the evidence on which a placement is to end against what the registry knows
+// of the worker apart from the message or the timer that brought the evidence.
+func (r *Registry) evidenceHolds(worker *Worker, task *taskstate.Task, evidence Evidence) bool {
+	switch evidence {
+	case EvidenceNeverLaunched:
+		return !task.Launch.Sent
+	case EvidenceExited:
+		return task.Observed.Reported
+	case EvidenceNotListed:
+		return !task.Launch.InFlight && !task.Launch.InDoubt && worker.Token >= task.Gone.MinToken
+	case EvidenceLaterSession:
+		return worker.Session > task.Gone.Session
+	case EvidenceLeaseExpired:
+		return r.runtime.Now()-worker.SessionSeenAt > r.settings.WorkerLease()
+	case EvidenceMachineReleased:
+		return r.released[worker.ID]
+	case EvidenceRecordRemoved:
+		return true // the leader's decision, see shard.TaskStore.RecordRemoved
+	}
+	return false
 }
 
 // logPlacementEnd logs the evidence on which a placement ends, with the state of the worker's
@@ -70,7 +100,9 @@
 // endPlacement ends the placement of a task that is proven not to be on its machine. The kind
 // of loss only matters for a gang.
 func (r *Registry) endPlacement(worker *Worker, task *taskstate.Task, evidence Evidence, loss taskstate.Loss) {
-	r.takeOff(worker, task, evidence)
+	if !r.takeOff(worker, task, evidence) {
+		return
+	}
 	task.TakeOffWorker()
 	if task.Job.Cancelled {
 		r.tasks.DropTask(task)
--- a/internal/workers/placements.go
+++ b/internal/workers/placements.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/tuning"
 )
@@ -21,6 +22,11 @@
 // PlaceTask places a waiting task on a worker and has the placement recorded. The launch is
 // sent once the placement is durable, see PlacementDurable.
 func (r *Registry) PlaceTask(task *taskstate.Task, worker *Worker) {
+	if task.State != taskstate.StateWaiting {
+		r.metrics.ReportViolation(r.log, metrics.InvariantPlacedOnce, "worker", worker.ID, "task", task.Name(),
+			"state", task.State.String(), "placed_on", task.WorkerID)
+		return
+	}
 	if gang := task.Job.Gang; gang != nil && !worker.HasImage(task.Job.Spec.Image) {
 		gang.UncachedPlacements++
 	}
--- a/internal/workers/reconcile.go
+++ b/internal/workers/reconcile.go
@@ -122,6 +122,7 @@
 // at all.
 func (c *reconciliation) processUnrecorded(task *taskstate.Task, reported *ReportedTask) {
 	if reported.Phase != PhaseEnded {
+		c.checkGone(reported)
 		c.worker.UnknownTasks++
 		c.commands = append(c.commands, haltCommand(reported.Name, reported.Attempt, 0))
 		return
--- a/internal/workers/task_ends.go
+++ b/internal/workers/task_ends.go
@@ -53,22 +53,24 @@
 	registry := c.registry
 	c.worker.recordSuccess()
 	task.Job.ConsecutiveFailures = 0
+	if task.Job.Spec.IsService() && task.Job.Gang == nil {
+		// A replica of a service is never done, so it is placed again.
+		registry.endPlacement(c.worker, task, EvidenceExited, taskstate.LossExited)
+		c.forget(reported)
+		return
+	}
+	if !registry.takeOff(c.worker, task, EvidenceExited) {
+		return
+	}
 	switch {
 	case task.Job.Gang != nil && !task.Job.Cancelled:
-		registry.takeOff(c.worker, task, EvidenceExited)
 		registry.tasks.TaskDone(task)
 		registry.GangDone(task.Job)
-	case task.Job.Spec.IsService():
-		// A replica of a service is never done, so it is placed again.
-		registry.endPlacement(c.worker, task, EvidenceExited, taskstate.LossExited)
-		c.forget(reported)
 	case task.Job.Cancelled:
-		registry.takeOff(c.worker, task, EvidenceExited)
 		task.State, task.WorkerID = taskstate.StateWaiting, ""
 		registry.tasks.DropTask(task)
 		c.forget(reported)
 	default:
-		registry.takeOff(c.worker, task, EvidenceExited)
 		registry.tasks.TaskDone(task)
 	}
 }
--- a/internal/workers/worker.go
+++ b/internal/workers/worker.go
@@ -20,6 +20,7 @@
 	Health
 	delivery commandDelivery
 	images   ImageCache
+	gone     goneTasks
 }
 
 // Machine describes the machine that a worker runs on, as reported in its heartbeats.
