Shard: a record removed under a former owner is not logged as an error

It sends nothing then: its lease is not certain to be valid.

It is an error only of an owner whose lease is certain to be valid; of another it is an info line.

--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -1,6 +1,9 @@
 package shard
 
 import (
+	"context"
+	"log/slog"
+
 	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/userapi"
 )
@@ -79,7 +82,7 @@
 	s.tasks.removeGroup(group)
 	for _, task := range group.Tasks {
 		if task.State == taskstate.StatePlaced {
-			s.deps.Log.Error("record removed while a task may run", "shard", s.shardIndex, "task", task.Name(), "worker", task.WorkerID)
+			s.logRemovalOfPlaced(task)
 			s.deps.Handler.DiscardTask(task)
 		}
 		if task.State != taskstate.StateDone {
@@ -91,6 +94,18 @@
 	s.tasks.removeJobIfEmpty(group.Job)
 }
 
+// logRemovalOfPlaced logs that a record was removed while its task may run. That is an error only of
+// an owner that is certain to be the owner: a later one may have closed the task since, which this
+// process learns from another watch.
+func (s *TaskStore) logRemovalOfPlaced(task *taskstate.Task) {
+	level := slog.LevelInfo
+	if s.deps.Leases.LeaseValid() {
+		level = slog.LevelError
+	}
+	s.deps.Log.Log(context.Background(), level, "record removed while a task may run", "shard", s.shardIndex, "task", task.Name(),
+		"worker", task.WorkerID, "token", s.writer.token)
+}
+
 // TaskStatusChanged processes a status change in another shard: if a task of a divided gang
 // is done, the whole gang is done.
 func (s *TaskStore) TaskStatusChanged(record *taskstate.Record, position int, _ taskstate.TaskStatus) {
--- a/internal/shard/records_test.go
+++ b/internal/shard/records_test.go
@@ -74,3 +74,20 @@
 		})
 	}
 }
+
+// TestRecordRemovedUnderAFormerOwnerIsNoError guards against an alarm for a record that was removed
+// rightly: a later owner had closed its tasks, which the former one has not learned yet.
+func TestRecordRemovedUnderAFormerOwnerIsNoError(t *testing.T) {
+	for _, former := range []bool{false, true} {
+		service, node := newShardOwner(t, 1)
+		node.place("vm-1")
+		service.Run(time.Second)
+		if former {
+			service.AdvanceClock(time.Minute) // no renewal has been answered
+		}
+		node.tasks.RecordRemoved(node.store.Get(taskstate.RecordKey(0, jobID, 0)))
+		if logged := node.errors.Len() > 0; logged == former {
+			t.Errorf("former owner %v: error logged %v, want %v", former, logged, !former)
+		}
+	}
+}
