--- a/internal/workers/lease_test.go
+++ b/internal/workers/lease_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/tuning"
 )
@@ -130,4 +131,5 @@
 	if len(fixture.worker.tasks) != 1 || task.State != taskstate.StatePlaced {
 		t.Errorf("state %v while the worker runs %v, want %v", task.State, fixture.worker.tasks, taskstate.StatePlaced)
 	}
+	fixture.expectViolations(t, metrics.InvariantEvidenceHolds, 0)
 }
