Soak: a controller's port is not given to others while it is down, and teams reach their limits

The merged logs show that its process ended at a restart with 'bind: address already in use': while it was down an outgoing connection had been given its port. The stand-in is at fault, not the controllers. Ports now come from below the range of outgoing connections, each once in a test process.

The jobs of the first burst are urgent now.

--- a/internal/controller/processes_test.go
+++ b/internal/controller/processes_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,15 +52,33 @@
 // processTick is the interval at which the stand-ins run the events that are due.
 const processTick = 5 * time.Millisecond
 
-// freeAddress returns a loopback address with a port on which nothing listens.
+// Ports of controllers. They are below those that the system gives to outgoing connections, one of
+// which could otherwise take the port of a controller while it is down.
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
+// lastPort numbers the ports that this test process has tried. It begins at another number in
+// each process.
+var lastPort atomic.Uint32
+
+func init() { lastPort.Store(uint32(os.Getpid()) * 499) }
+
+// freeAddress returns a loopback address with a port on which nothing listens, and which is not
+// returned again.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%portCount)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // buildProgram builds the lemonmoor binary as CI does, without the linker flags of the deploy
--- a/internal/controller/soak_plan_test.go
+++ b/internal/controller/soak_plan_test.go
@@ -116,7 +116,10 @@
 	plan.until = warmUp + length
 	for i := range burst + int(jobsPerSecond*length.Seconds()) {
 		at := warmUp/2 + time.Duration(float64(max(0, i-burst))/jobsPerSecond*float64(second))
-		plan.jobs = append(plan.jobs, drawSoakJob(rng, i, at, plan.limit))
+		job := drawSoakJob(rng, i, at, plan.limit)
+		// Part of a team's limit is kept for its urgent jobs, so only those bring it there.
+		job.spec.urgent = i < burst || i%3 == 0
+		plan.jobs = append(plan.jobs, job)
 	}
 	all := append(append([]fault{}, faults...), processFaults...)
 	for at := warmUp; at < plan.until; {
@@ -140,7 +143,7 @@
 // either fits.
 func drawSoakJob(rng *rand.Rand, number int, submittedAt time.Duration, limit float64) soakJob {
 	spec := jobSpec{
-		id: jobID(number), team: teamOf(number), tasks: 1 + rng.IntN(6), cpus: []float64{1, 1, 2}[rng.IntN(3)], spot: true, urgent: number%3 == 0,
+		id: jobID(number), team: teamOf(number), tasks: 1 + rng.IntN(6), cpus: []float64{1, 1, 2}[rng.IntN(3)], spot: true,
 		runTime: time.Duration(1000+rng.IntN(9000)) * millisecond,
 	}
 	if limit > teamLimitCPUs {
