Leader: a quota that was lowered is no violated invariant

The assertion now asks that the use is not above both the quota and what it was at the takeover, which is logged as a warning.

--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -93,6 +93,7 @@
 
 	commandsRefused bool          // connections for direct commands to workers fail at once
 	imageFetchTime  time.Duration // average time to fetch an image; 0: no fetching
+	teamLimit       float64       // processors that each team may use; the settings of the controllers must say the same
 	faultScale      int           // factor on the number of machines that a fault affects
 	unanswered      int           // queries of expectAnswers that no answer has come to yet
 
@@ -148,6 +149,7 @@
 		stateFaults: stateFaults{refusedControllers: map[string]bool{}},
 		stateLimits: stateLimits{operations: 12, valueBytes: 8 << 10},
 		faultScale:  1,
+		teamLimit:   teamLimitCPUs,
 	}
 	sim.log = sim.newLog()
 	sim.checker = &ruleChecker{sim: sim}
--- a/internal/controller/soak_test.go
+++ b/internal/controller/soak_test.go
@@ -104,6 +104,7 @@
 	deployment := &sim.settings.Deployment
 	deployment.Workers.ReportS = soakReport
 	sim.heartbeats.slowdown, sim.heartbeats.onChange = soakReport, true
+	sim.teamLimit = r.plan.limit
 	for i := range deployment.Teams {
 		deployment.Teams[i].CPUsMax = r.plan.limit
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -104,7 +104,6 @@
 	l.unseenRecords = map[string]*taskstate.Record{}
 	l.recalls = recallRequests{}
 	l.ends.jobs, l.garbage.keys = nil, nil
-	l.quotas = quotaCheck{checkedAt: l.runtime.Now(), reported: map[string]bool{}}
 }
 
 // BeginTerm starts a term under a fencing token. It loads the state once the copies of records
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -30,6 +30,7 @@
 	for _, job := range l.jobs.byID {
 		l.endIfComplete(job)
 	}
+	l.beginQuotaChecks()
 	l.RequestRound()
 	l.log.Info("leadership begins", "token", l.commits.token, "jobs", len(l.jobs.byID), "unrecorded", unrecorded,
 		"records_revision", l.records.Revision(), "jobs_revision", l.catalog.Revision())
--- a/internal/leader/quota_check.go
+++ b/internal/leader/quota_check.go
@@ -13,7 +13,26 @@
 // the records, and does not use the sums from which dispatches are allowed.
 type quotaCheck struct {
 	checkedAt time.Duration
-	reported  map[string]bool // teams whose violation was reported in this term
+	// atTakeover is what the teams used when the term began. It may be above a quota that was
+	// lowered; it must not grow then.
+	atTakeover map[string]resource.Vector
+	reported   map[string]bool // teams whose violation was reported in this term
+}
+
+// beginQuotaChecks recounts the open tasks at the beginning of a term.
+func (l *Leader) beginQuotaChecks() {
+	l.quotas = quotaCheck{checkedAt: l.runtime.Now(), atTakeover: l.recordedUse(), reported: map[string]bool{}}
+	for name, used := range l.quotas.atTakeover {
+		if team := l.teams[name]; team != nil && !team.holds(used) {
+			l.log.Warn("open tasks of a team were above its quota at the takeover", "team", name,
+				"recorded_cpus", used.CPUs, "recorded_gpus", used.GPUs, "use", team.String(), "token", l.commits.token)
+		}
+	}
+}
+
+// holds reports whether an amount is within the quota, or above it only by rounding.
+func (u *teamUsage) holds(used resource.Vector) bool {
+	return used.CPUs <= u.maxCPUs+tuning.QuotaCheckTolerance && used.GPUs <= u.maxGPUs+tuning.QuotaCheckTolerance
 }
 
 // recordedUse returns what the open tasks in the records of each team's jobs take.
@@ -36,8 +55,8 @@
 }
 
 // checkQuotas recounts the open tasks, at most once per tuning.QuotaCheckInterval, and reports each
-// team above its quota once in a term. Nothing of such a team is dispatched in any case, since the
-// leader's own sums are never below the records.
+// team above its quota once in a term, unless it was there at the takeover and uses no more since.
+// Nothing of such a team is dispatched in any case: the leader's own sums are never below the records.
 func (l *Leader) checkQuotas() {
 	now := l.runtime.Now()
 	if now-l.quotas.checkedAt < tuning.QuotaCheckInterval {
@@ -45,9 +64,9 @@
 	}
 	l.quotas.checkedAt = now
 	for name, used := range l.recordedUse() {
-		team := l.teams[name]
-		if team == nil || l.quotas.reported[name] ||
-			(used.CPUs <= team.maxCPUs+tuning.QuotaCheckTolerance && used.GPUs <= team.maxGPUs+tuning.QuotaCheckTolerance) {
+		team, before := l.teams[name], l.quotas.atTakeover[name]
+		hasGrown := used.CPUs > before.CPUs+tuning.QuotaCheckTolerance || used.GPUs > before.GPUs+tuning.QuotaCheckTolerance
+		if team == nil || l.quotas.reported[name] || team.holds(used) || !hasGrown {
 			continue
 		}
 		l.quotas.reported[name] = true
