Workers: an old report to an owner that never heard the worker violates no invariant

A worker's session that was unknown at the expiry can be the one that expired, so a report of any session proves nothing then. The test failed before with '1 violations of gone_task_not_listed, want 0'.

--- a/internal/workers/gone_tasks.go
+++ b/internal/workers/gone_tasks.go
@@ -40,13 +40,14 @@
 
 // contradicts reports whether a message that lists the task as alive shows that the proof was
 // wrong. A message from before the proof does not; nor does one of the session whose lease
-// expired, since it may have been sent before.
+// expired, since it may have been sent before. If this process had not heard the worker, that may
+// be any session.
 func (p goneProof) contradicts(message *Heartbeat) bool {
 	switch p.evidence {
 	case EvidenceNeverLaunched:
 		return true
 	case EvidenceLeaseExpired:
-		return message.Session > p.session
+		return p.session > 0 && message.Session > p.session
 	case EvidenceNotListed, EvidenceLaterSession:
 		return message.Session > p.session || (message.Session == p.session && message.Sequence > p.sequence)
 	case EvidenceExited, EvidenceMachineReleased, EvidenceRecordRemoved:
--- a/internal/workers/invariants_test.go
+++ b/internal/workers/invariants_test.go
@@ -74,3 +74,21 @@
 	}
 	fixture.expectViolations(t, metrics.InvariantPlacedOnce, 1)
 }
+
+// TestOldReportAfterALeaseExpiredIsNoViolation guards against an alarm for a copy of a report from
+// before the expiry, which reaches an owner that has never heard the worker.
+func TestOldReportAfterALeaseExpiredIsNoViolation(t *testing.T) {
+	fixture := newRegistryFixture(1)
+	task := fixture.job.Tasks[0]
+	task.State, task.WorkerID, task.Attempt, task.Launch.Sent, task.PlacementDurable = taskstate.StatePlaced, "vm-1", 1, true, true
+	fixture.worker.tasks[task.Name()] = 1
+	fixture.registry.BeginTerm()
+	copied := fixture.heartbeat()
+	fixture.now += 2 * fixture.registry.settings.WorkerLease()
+	fixture.registry.Tick()
+	if task.State != taskstate.StateWaiting {
+		t.Fatalf("after the lease: state %v, want %v", task.State, taskstate.StateWaiting)
+	}
+	fixture.registry.HandleHeartbeat(copied)
+	fixture.expectViolations(t, metrics.InvariantGoneTaskNotListed, 0)
+}
