Soak: the teams reach their limits before the first fault

The merged log shows dispatches up to 24 of 24 processors of a team, while at most 22 ran at the moments that are looked at: three restarts of the leader fell into the first seconds of the load, whose tasks run for 1 to 10 s.

--- a/internal/controller/soak_plan_test.go
+++ b/internal/controller/soak_plan_test.go
@@ -110,15 +110,20 @@
 		plan.workers, plan.limit, plan.writes, jobsPerSecond = 220, 260, 60, 3.5
 	}
 	const (
-		warmUp = 8 * time.Second
-		burst  = 24 // jobs that come at once and bring the teams to their limits
+		warmUp   = 15 * time.Second // without faults
+		burst    = 24               // jobs that come at once and bring the teams to their limits in that time
+		burstAt  = 3 * time.Second
+		burstRun = 12 * time.Second // of the tasks of these jobs, at least
 	)
 	plan.until = warmUp + length
 	for i := range burst + int(jobsPerSecond*length.Seconds()) {
-		at := warmUp/2 + time.Duration(float64(max(0, i-burst))/jobsPerSecond*float64(second))
+		at := burstAt + time.Duration(float64(max(0, i-burst))/jobsPerSecond*float64(second))
 		job := drawSoakJob(rng, i, at, plan.limit)
 		// Part of a team's limit is kept for its urgent jobs, so only those bring it there.
 		job.spec.urgent = i < burst || i%3 == 0
+		if i < burst {
+			job.spec.runTime = max(job.spec.runTime, burstRun)
+		}
 		plan.jobs = append(plan.jobs, job)
 	}
 	all := append(append([]fault{}, faults...), processFaults...)
