--- a/internal/controller/sim_state_faults_test.go
+++ b/internal/controller/sim_state_faults_test.go
@@ -18,10 +18,12 @@
 
 // stateLimits are the limits that the state service enforces.
 type stateLimits struct {
-	writesPerSecond float64 // puts and deletes, 0: unlimited
-	operations      int     // per transaction
-	valueBytes      int
-	undeclared      bool // the settings don't declare these limits, so exceeding them breaks no rule
+	writesPerSecond   float64 // puts and deletes, 0: unlimited
+	requestsPerSecond float64 // 0: unlimited
+	pageSize          int     // key-values in one answer, 0: simPageSize
+	operations        int     // per transaction
+	valueBytes        int
+	undeclared        bool // the settings don't declare these limits, so exceeding them breaks no rule
 }
 
 // outageFor takes the state service down for a duration; afterwards every lease has its full
--- a/internal/controller/sim_worker_test.go
+++ b/internal/controller/sim_worker_test.go
@@ -25,8 +25,13 @@
 	leaseFrom          time.Duration // start of its current lease
 	controllerIndex    int           // the controller to which it sends its next heartbeat
 	heartbeatNumber    int           // of the heartbeat in flight; answers to others are dropped
-	tasks              []*simTask
-	faults             workerFaults
+	heartbeatTimer     int           // of the next heartbeat; earlier timers are void
+
+	heartbeatAwaitsAnswer bool
+	heartbeatSentAt       time.Duration // when the last heartbeat was sent
+
+	tasks  []*simTask
+	faults workerFaults
 }
 
 // workerFaults are the faults of one machine and of its network connection.
@@ -117,6 +122,7 @@
 		w.tasks = nil
 		w.session++
 		w.leaseFrom = w.sim.now
+		w.reportChange()
 	}
 }
 
@@ -168,6 +174,9 @@
 	}
 	w.token = body.Token
 	w.execute(body.Commands)
+	if len(body.Commands) > 0 {
+		w.reportChange()
+	}
 	return http1.Response{Status: 200, Body: w.heartbeatBody()}
 }
 
@@ -280,6 +289,7 @@
 		}
 		task.phase, task.cause = phaseEnded, "done"
 		job.completed[index] = true
+		w.reportChange()
 		if w.sim.users.cancelAtCompletion && len(job.completed) == job.tasks && job.cancel != nil {
 			job.cancel()
 		}
