Soak: the faults begin once every team has been seen at its limit

Cause, from the merged log of that run: the teams had 24 of 24 processors dispatched, but the leader had rented 8 machines of 4 processors for both teams. It rents by the users' estimates, and the load declared 5 s for tasks that run up to 12 s, so a queue of 48 processors was expected to drain before a new machine would be up. Whether one of the two teams got 24 of the 32 processors at the moment of a check was luck of the clock.

Change: one urgent job for each team fills its limit alone, with an estimate that is worth machines. Its tasks go on until both teams have been seen at their limits; the faults and the later load count from there. A fault that restarts the leader waits until there is one.

--- a/internal/controller/sim_job_test.go
+++ b/internal/controller/sim_job_test.go
@@ -41,6 +41,8 @@
 	checkpoint time.Duration // saved progress from which a gang continues
 	attempts   map[uint64]*simGang
 	gangStarts int // attempts in which all tasks ran
+	// heldRunning makes tasks whose run time is over run for it once more.
+	heldRunning bool
 }
 
 // userKnowledge is the state of a job as its user knows it: the user's requests and the answers.
--- a/internal/controller/sim_worker_test.go
+++ b/internal/controller/sim_worker_test.go
@@ -287,6 +287,10 @@
 		if w.expireLease(); task.generation != generation {
 			return
 		}
+		if job.heldRunning {
+			w.sim.schedule(runTime, complete)
+			return
+		}
 		task.phase, task.cause = phaseEnded, "done"
 		job.completed[index] = true
 		w.reportChange()
--- a/internal/controller/soak_plan_test.go
+++ b/internal/controller/soak_plan_test.go
@@ -16,21 +16,26 @@
 	shards  int
 	limit   float64 // of each team, in processors
 	fetch   time.Duration
-	writes  float64 // that the state service accepts per second
+	writes  float64   // that the state service accepts per second
+	fillers []soakJob // one of each team, which bring the teams to their limits and hold them there until both are
+	burst   []soakJob // that come at once, behind the fillers
 	jobs    []soakJob
 	faults  []soakFault
-	until   time.Duration // end of the faults
+	until   time.Duration // end of the faults, since the teams were at their limits
 }
 
 // soakJob is a job of the load.
 type soakJob struct {
-	at, cancelAfter time.Duration // since the start; since the acceptance, 0: never
-	spec            jobSpec
+	// at is the time of the submission: of a filler or a job of the burst since the start, of any
+	// other since the teams were at their limits.
+	at          time.Duration
+	cancelAfter time.Duration // since the acceptance, 0: never
+	spec        jobSpec
 }
 
 // soakFault is one occurrence of a fault.
 type soakFault struct {
-	at    time.Duration
+	at    time.Duration // since the teams were at their limits
 	name  faultName
 	drawn injection
 }
@@ -39,7 +44,7 @@
 func (p *soakPlan) String() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "seed %d: %d machines, %d shards, limit %g cpus, fetch %v, %g writes/s, %d jobs\n",
-		p.seed, p.workers, p.shards, p.limit, p.fetch, p.writes, len(p.jobs))
+		p.seed, p.workers, p.shards, p.limit, p.fetch, p.writes, len(p.burst)+len(p.jobs))
 	for _, fault := range p.faults {
 		fmt.Fprintf(&text, "  %8.3f %s (variant %d, %v)\n", fault.at.Seconds(), fault.name, fault.drawn.variant, fault.drawn.duration)
 	}
@@ -110,24 +115,29 @@
 		plan.workers, plan.limit, plan.writes, jobsPerSecond = 220, 260, 60, 3.5
 	}
 	const (
-		warmUp   = 15 * time.Second // without faults
-		burst    = 24               // jobs that come at once and bring the teams to their limits in that time
-		burstAt  = 3 * time.Second
-		burstRun = 12 * time.Second // of the tasks of these jobs, at least
+		fillersAt = 2 * time.Second
+		burstAt   = 3 * time.Second
+		burst     = 24               // jobs
+		burstRun  = 12 * time.Second // of the tasks of these jobs, at least
 	)
-	plan.until = warmUp + length
+	plan.until = length
+	for number := range soakTeams {
+		plan.fillers = append(plan.fillers, soakJob{at: fillersAt, spec: fillerJob(1000+number, plan.limit)})
+	}
 	for i := range burst + int(jobsPerSecond*length.Seconds()) {
-		at := burstAt + time.Duration(float64(max(0, i-burst))/jobsPerSecond*float64(second))
-		job := drawSoakJob(rng, i, at, plan.limit)
+		job := drawSoakJob(rng, i, burstAt, plan.limit)
 		// Part of a team's limit is kept for its urgent jobs, so only those bring it there.
 		job.spec.urgent = i < burst || i%3 == 0
 		if i < burst {
 			job.spec.runTime = max(job.spec.runTime, burstRun)
+			plan.burst = append(plan.burst, job)
+			continue
 		}
+		job.at = time.Duration(float64(i-burst) / jobsPerSecond * float64(second))
 		plan.jobs = append(plan.jobs, job)
 	}
 	all := append(append([]fault{}, faults...), processFaults...)
-	for at := warmUp; at < plan.until; {
+	for at := time.Duration(0); at < plan.until; {
 		for range 2 + rng.IntN(2) { // that overlap
 			drawn := injection{rng.IntN(8), time.Duration(1000+rng.IntN(17000)) * millisecond}
 			if rng.IntN(4) == 0 { // longer than a lease, and the answers of an earlier owner
@@ -139,11 +149,27 @@
 	}
 	// Leaders change in series, while teams are at their limits.
 	for i := range 3 {
-		plan.faults = append(plan.faults, soakFault{warmUp + length/3 + time.Duration(i)*3500*millisecond, leaderRestartsAtOnce, injection{rng.IntN(20), second}})
+		plan.faults = append(plan.faults, soakFault{length/3 + time.Duration(i)*3500*millisecond, leaderRestartsAtOnce, injection{rng.IntN(20), second}})
 	}
 	return plan
 }
 
+// soakTeams is the number of teams of a soak.
+const soakTeams = 2
+
+// fillerJob returns an urgent job that fills its team's limit alone. Its tasks end one after the
+// other. Its estimate is long, since the leader rents no machine for work that is soon over.
+func fillerJob(number int, limit float64) jobSpec {
+	const (
+		lastEndsAfter   = 12 * time.Second
+		estimateSeconds = 120
+	)
+	return jobSpec{
+		id: jobID(number), team: teamOf(number), tasks: int(limit), cpus: 1, spot: true, urgent: true, estimateSeconds: estimateSeconds,
+		runTime: second, runTimeStep: lastEndsAfter / time.Duration(limit),
+	}
+}
+
 // drawSoakJob draws the job with a number. The teams' limits are the same, so that a job of
 // either fits.
 func drawSoakJob(rng *rand.Rand, number int, submittedAt time.Duration, limit float64) soakJob {
--- a/internal/controller/soak_test.go
+++ b/internal/controller/soak_test.go
@@ -24,6 +24,8 @@
 	soakLengthInCI = 18 * time.Second
 	// soakRecovery is the time after the faults in which everything must have recovered.
 	soakRecovery = neglectLimit + 10*time.Second
+	// soakFillLimit is the time within which every team must have been seen at its limit.
+	soakFillLimit = 60 * time.Second
 	// soakReport is the interval between two heartbeats of a worker, in multiples of a second.
 	soakReport = 2
 )
@@ -74,6 +76,10 @@
 	*processDeployment
 	plan    *soakPlan
 	atLimit map[string]bool // teams that were seen at their limits
+	fillers []*simJob
+	// faultsFrom is the time at which every team had been seen at its limit, from which the plan's
+	// faults and later jobs count.
+	faultsFrom time.Duration
 }
 
 // runSoak runs a plan and fails the test if a rule is broken, or if the plan has not met what it
@@ -83,9 +89,10 @@
 	run.processDeployment = newProcessDeployment(t, run.configure)
 	run.partitionsPeers = true
 	run.start(t, program, "")
-	run.withLock(run.scheduleLoad)
-	run.withLock(run.scheduleFaults)
-	run.sleepUntil(plan.until)
+	run.withLock(run.fillTeams)
+	run.waitFor(t, "not run: every team at its limit", soakFillLimit, run.teamsFilled)
+	run.withLock(run.beginFaults)
+	run.sleepUntil(run.faultsFrom + plan.until)
 	run.sleepUntil(run.lastFaultEnd())
 	run.withLock(run.endFaults)
 	run.waitForRecovery(time.Since(run.startedAt) + soakRecovery)
@@ -122,15 +129,27 @@
 	sim.schedule(0, sim.checker.checkPeriodically)
 }
 
-// scheduleLoad schedules the submissions and cancellations of the plan.
-func (r *soak) scheduleLoad() {
-	for _, planned := range r.plan.jobs {
-		r.schedule(planned.at-r.now, func() { r.submitAndPoll(newJob(planned.spec), planned.cancelAfter) })
+// fillTeams schedules the jobs that bring the teams to their limits, which go on until both are
+// there.
+func (r *soak) fillTeams() {
+	for _, planned := range r.plan.fillers {
+		filler := newJob(planned.spec)
+		filler.heldRunning = true
+		r.fillers = append(r.fillers, filler)
+		r.schedule(planned.at-r.now, func() { r.submitAndPoll(filler, 0) })
 	}
+	r.scheduleJobs(r.plan.burst, 0)
 	r.schedule(5*second, func() { r.sendInvalidRequests(1500 * millisecond) })
 	r.watchLimits()
 }
 
+// scheduleJobs schedules the submissions and cancellations of jobs whose times count from origin.
+func (r *soak) scheduleJobs(jobs []soakJob, origin time.Duration) {
+	for _, planned := range jobs {
+		r.schedule(origin+planned.at-r.now, func() { r.submitAndPoll(newJob(planned.spec), planned.cancelAfter) })
+	}
+}
+
 // watchLimits records which teams are at their limits, up to the size of a small task.
 func (r *soak) watchLimits() {
 	for _, team := range r.settings.Deployment.Teams {
@@ -141,29 +160,45 @@
 	r.schedule(checkInterval, r.watchLimits)
 }
 
-// scheduleFaults schedules the faults of the plan.
-func (r *soak) scheduleFaults() {
+// teamsFilled reports whether every team has been seen at its limit.
+func (r *soak) teamsFilled() bool { return len(r.atLimit) == len(r.settings.Deployment.Teams) }
+
+// beginFaults releases the fillers and schedules the other jobs and the faults of the plan.
+func (r *soak) beginFaults() {
+	r.faultsFrom = r.now
+	for _, filler := range r.fillers {
+		filler.heldRunning = false
+	}
+	r.scheduleJobs(r.plan.jobs, r.faultsFrom)
 	for _, planned := range r.plan.faults {
-		r.schedule(planned.at-r.now, func() {
-			for _, fault := range slices.Concat(faults, processFaults) {
-				if fault.name == planned.name {
-					fault.inject(r.simulation, planned.drawn)
-				}
-			}
-		})
+		r.schedule(planned.at, func() { r.injectPlanned(planned) })
+	}
+}
+
+// injectPlanned injects a fault of the plan. A restart of the leader waits until there is one, so
+// that the leader changes in every run.
+func (r *soak) injectPlanned(planned soakFault) {
+	if planned.name == leaderRestartsAtOnce && r.leader() == nil {
+		r.schedule(checkInterval, func() { r.injectPlanned(planned) })
+		return
+	}
+	for _, fault := range slices.Concat(faults, processFaults) {
+		if fault.name == planned.name {
+			fault.inject(r.simulation, planned.drawn)
+		}
 	}
 }
 
 // lastFaultEnd returns the time by which every fault of the plan has ended, the one that a fault
 // brings with it included.
 func (r *soak) lastFaultEnd() time.Duration {
-	end := r.plan.until
+	end := r.faultsFrom + r.plan.until
 	for _, planned := range r.plan.faults {
 		duration := planned.drawn.duration
 		if planned.name == machinesDeafThenNew {
 			duration += r.settings.WorkerLease()
 		}
-		end = max(end, planned.at+duration+second)
+		end = max(end, r.faultsFrom+planned.at+duration+second)
 	}
 	return end
 }
