Soak: users cancel the services that are accepted long after the faults

The merged log shows a service, accepted 78.6 s after the start, whose two tasks were launched and ran on. The plan's users cancelled their services twice, when the faults had ended and 10 s later, so nobody ever cancelled this one and it rightly went on. They now cancel every service as soon as it is accepted. The check, that every job has ended, is as it was.

--- a/internal/controller/soak_test.go
+++ b/internal/controller/soak_test.go
@@ -206,12 +206,17 @@
 // sleepUntil waits until a time of the run.
 func (r *soak) sleepUntil(at time.Duration) { time.Sleep(at - time.Since(r.startedAt)) }
 
-// endFaults begins the checks of the recovery, and has the users cancel their services, so that
-// every job ends.
+// endFaults begins the checks of the recovery, and has the users cancel their services.
 func (r *soak) endFaults() {
 	r.startRecoveryChecks()
+	r.cancelServices()
+}
+
+// cancelServices has the users cancel their services as soon as they are accepted, so that every
+// job ends.
+func (r *soak) cancelServices() {
 	r.cancelServicesAt(0)
-	r.schedule(10*second, func() { r.cancelServicesAt(0) }) // those accepted since
+	r.schedule(second, r.cancelServices)
 }
 
 // waitForRecovery waits until all jobs have ended and all queries are answered, or until a time
