Logs and metrics: under which token attempts were launched and are forgotten

The records of the incident (ran_twice) could not tell whether a worker was told to forget an attempt while a copy of its launch was still valid: the controllers' logs name the launch, but neither the forget nor the token of the direct message.

- `launch_token` in `placement ended`;
- `lemonmoor_forgets_total`;
- the invariant `ended_stays_ended`: a worker lists an attempt as alive that it was told to forget.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,6 +36,9 @@
 	// InvariantEvidenceHolds is violated when a placement is to end on evidence that the state of
 	// its worker contradicts.
 	InvariantEvidenceHolds Invariant = "evidence_holds"
+	// InvariantEndedStaysEnded is violated when a worker lists an attempt as alive that it was told
+	// to forget since it had ended.
+	InvariantEndedStaysEnded Invariant = "ended_stays_ended"
 	// InvariantStatusOnPage is violated when the owner of a shard and the readers of its log take a
 	// task's status from different pages.
 	InvariantStatusOnPage Invariant = "status_on_page"
@@ -56,6 +59,7 @@
 	tokensAcquired  *prometheus.CounterVec
 	dispatchedTasks prometheus.Counter
 	knowledgeAge    prometheus.Histogram
+	forgets         prometheus.Counter
 	violations      *prometheus.CounterVec
 }
 
@@ -85,12 +89,21 @@
 			Namespace: namespace, Name: "launch_knowledge_age_seconds", Help: "Age of the knowledge of cancellations when launches are sent.",
 			Buckets: []float64{0.01, 0.05, 0.1, 0.5, 1, 2, 5},
 		}),
+		forgets: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "forgets_total", Help: "Commands sent that tell workers to forget attempts that have ended.",
+		}),
 		violations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "invariant_violations_total", Help: "Violations of invariants found at run time.",
 		}, []string{"invariant"}),
 	}
-	created.registry.MustRegister(created.leaderToken, created.shardTokens, created.launches, created.placementsEnded, created.tokensAcquired, created.dispatchedTasks, created.knowledgeAge, created.violations)
-	for _, invariant := range []Invariant{InvariantGoneTaskNotListed, InvariantEvidenceHolds, InvariantStatusOnPage, InvariantPlacedOnce, InvariantWithinQuota} {
+	created.registry.MustRegister(
+		created.leaderToken, created.shardTokens, created.launches, created.placementsEnded, created.tokensAcquired, created.dispatchedTasks,
+		created.knowledgeAge, created.forgets, created.violations,
+	)
+	for _, invariant := range []Invariant{
+		InvariantGoneTaskNotListed, InvariantEvidenceHolds, InvariantEndedStaysEnded,
+		InvariantStatusOnPage, InvariantPlacedOnce, InvariantWithinQuota,
+	} {
 		created.violations.WithLabelValues(string(invariant)) // reported as 0 before the first violation
 	}
 	return created
@@ -123,6 +136,9 @@
 // AddDispatched counts tasks in records that were committed.
 func (m *Metrics) AddDispatched(tasks int) { m.dispatchedTasks.Add(float64(tasks)) }
 
+// AddForgets counts commands that tell workers to forget attempts.
+func (m *Metrics) AddForgets(count int) { m.forgets.Add(float64(count)) }
+
 // Encode returns all metrics in the text format of Prometheus.
 func (m *Metrics) Encode() ([]byte, error) {
 	families, err := m.registry.Gather()
--- a/internal/taskstate/task.go
+++ b/internal/taskstate/task.go
@@ -77,7 +77,8 @@
 }
 
 // Launch is the state of the launch command of a placed task. The command is sent in exactly
-// one message, so that it cannot be executed twice.
+// one message. A copy of a direct message may be executed again at any later time, until the
+// worker has seen a higher token than the message's.
 type Launch struct {
 	// Sent is set when the command was sent, or may have been sent under an earlier token.
 	Sent bool
@@ -86,6 +87,9 @@
 	// InDoubt is set when that direct message was not answered. The worker may execute it
 	// at any time until it has seen a higher token.
 	InDoubt bool
+	// DirectToken is the token of the direct message with the command, 0 if no direct message
+	// of this term has carried it.
+	DirectToken uint64
 }
 
 // GoneProof specifies which heartbeats prove that a placed task is gone from its worker by
--- a/internal/workers/commands.go
+++ b/internal/workers/commands.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"strconv"
 	"time"
 
 	"lemonmoor/internal/eventloop"
@@ -79,7 +78,7 @@
 	}
 	attempts := make([]uint64, len(launched))
 	for i, task := range launched {
-		task.Launch.Sent, task.Launch.InFlight = true, true
+		task.Launch.Sent, task.Launch.InFlight, task.Launch.DirectToken = true, true, message.Token
 		task.Gone.Session, task.Gone.AfterSequence = worker.Session, worker.Sequence
 		attempts[i] = task.Attempt
 	}
@@ -112,7 +111,7 @@
 	}
 	attempts := make([]string, len(launched))
 	for i, task := range launched {
-		attempts[i] = task.Name() + "@" + strconv.FormatUint(task.WireAttempt(), 10)
+		attempts[i] = taskAttempt{task.Name(), task.WireAttempt()}.String()
 	}
 	knowledgeAge, now := r.lease.KnowledgeAge(), r.runtime.Now()
 	r.metrics.AddLaunches(string(way), len(launched), knowledgeAge.Seconds())
--- a/internal/workers/gone_tasks.go
+++ b/internal/workers/gone_tasks.go
@@ -1,6 +1,8 @@
 package workers
 
 import (
+	"strconv"
+
 	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/taskstate"
 )
@@ -14,10 +16,14 @@
 	attempt uint64
 }
 
+// String returns the attempt's name in logs: JOB/INDEX@ATTEMPT.
+func (a taskAttempt) String() string { return a.name + "@" + strconv.FormatUint(a.attempt, 10) }
+
 // goneProof is the message that proved a task gone.
 type goneProof struct {
 	evidence          Evidence
 	session, sequence uint64
+	directToken       uint64 // token of the direct message that launched the task, 0 if none did
 }
 
 // goneTasks are the attempts that were considered gone from a worker in this term although the
@@ -35,7 +41,7 @@
 	if *g == nil || len(*g) >= maxGoneTasks {
 		*g = goneTasks{}
 	}
-	(*g)[taskAttempt{task.Name(), task.WireAttempt()}] = goneProof{evidence, worker.Session, worker.Sequence}
+	(*g)[taskAttempt{task.Name(), task.WireAttempt()}] = goneProof{evidence, worker.Session, worker.Sequence, task.Launch.DirectToken}
 }
 
 // contradicts reports whether a message that lists the task as alive shows that the proof was
@@ -58,7 +64,7 @@
 // checkGone asserts that a task that a worker lists as alive was not considered gone before. The
 // task is halted, like any that the records do not place there.
 func (c *reconciliation) checkGone(reported *ReportedTask) {
-	attempt := taskAttempt{reported.Name, reported.Attempt}
+	attempt := reported.taskAttempt()
 	proof, wasGone := c.worker.gone[attempt]
 	if !wasGone || !proof.contradicts(c.heartbeat) {
 		return
--- a/internal/workers/lease.go
+++ b/internal/workers/lease.go
@@ -23,6 +23,7 @@
 	r.log.Info("worker session seen", "worker", worker.ID, "session", session, "earlier", worker.Session,
 		"lease_age_ms", (now - worker.LeaseRenewedAt).Milliseconds())
 	worker.Session, worker.SessionSeenAt = session, now
+	worker.ended = endedAttempts{} // the attempts of the earlier session, and every message that names it, are void
 	worker.extendLease(now)
 }
 
--- a/internal/workers/placement_end.go
+++ b/internal/workers/placement_end.go
@@ -60,6 +60,7 @@
 	}
 	r.logPlacementEnd(worker, task, evidence)
 	worker.gone.record(task, evidence, worker)
+	worker.ended.retain(task)
 	r.removeTask(worker, task)
 	return true
 }
@@ -93,7 +94,7 @@
 	r.metrics.AddPlacementEnded(evidence.String())
 	r.log.Info("placement ended", "worker", worker.ID, "task", task.Name(), "attempt", task.WireAttempt(), "evidence", evidence.String(),
 		"token", r.lease.Token(), "session", worker.Session, "seq", worker.Sequence,
-		"launch_session", task.Gone.Session, "launch_seq", task.Gone.AfterSequence, "in_doubt", task.Launch.InDoubt,
+		"launch_token", task.Launch.DirectToken, "launch_session", task.Gone.Session, "launch_seq", task.Gone.AfterSequence, "in_doubt", task.Launch.InDoubt,
 		"lease_age_ms", (now - worker.LeaseRenewedAt).Milliseconds(), "heard_ms", (now - worker.LastHeartbeatAt).Milliseconds())
 }
 
--- a/internal/workers/reconcile.go
+++ b/internal/workers/reconcile.go
@@ -12,8 +12,10 @@
 	registry          *Registry
 	worker            *Worker
 	heartbeat         *Heartbeat
-	tokenAcknowledged bool      // the heartbeat shows the current token
-	commands          []Command // for the answer
+	tokenAcknowledged bool // the heartbeat shows the current token
+	// ended are the listed attempts that the registry needs no longer; see appendForgets.
+	ended    []*ReportedTask
+	commands []Command // for the answer
 }
 
 // taskSet is the set of tasks that the records place on a worker's machine and that the
@@ -36,6 +38,7 @@
 		// Cancelled tasks are halted all the same.
 		return r.haltsOfCancelledTasks(heartbeat)
 	}
+	rec.appendForgets()
 	rec.appendHalts(listed)
 	rec.appendLaunches()
 	return rec.commands[:min(len(rec.commands), tuning.MaxCommandsPerMessage)]
@@ -123,6 +126,7 @@
 func (c *reconciliation) processUnrecorded(task *taskstate.Task, reported *ReportedTask) {
 	if reported.Phase != PhaseEnded {
 		c.checkGone(reported)
+		c.checkStaysEnded(reported)
 		c.worker.UnknownTasks++
 		c.commands = append(c.commands, haltCommand(reported.Name, reported.Attempt, 0))
 		return
@@ -133,20 +137,11 @@
 	if task != nil && task.State == taskstate.StateDone && !task.DoneDurable {
 		return // the worker must not forget it before its completion is durable
 	}
-	c.forgetIfTokenAcknowledged(reported)
+	c.forget(reported)
 }
 
-// forgetIfTokenAcknowledged adds a forget command for an ended task, if the worker has
-// acknowledged the token under which the command is sent.
-func (c *reconciliation) forgetIfTokenAcknowledged(reported *ReportedTask) {
-	if c.tokenAcknowledged {
-		c.forget(reported)
-	}
-}
-
-func (c *reconciliation) forget(reported *ReportedTask) {
-	c.commands = append(c.commands, forgetCommand(reported))
-}
+// forget has the worker forget an ended attempt, as soon as that is safe.
+func (c *reconciliation) forget(reported *ReportedTask) { c.ended = append(c.ended, reported) }
 
 // processUnlisted processes the tasks that the records place on this machine and that the
 // heartbeat does not list. It ends the placements of those that this proves gone, and renews
--- a/internal/workers/registry.go
+++ b/internal/workers/registry.go
@@ -187,7 +187,7 @@
 func (r *Registry) forgetTasks() {
 	for _, worker := range r.workers {
 		worker.forgetTasks()
-		worker.gone = nil
+		worker.gone, worker.ended = nil, endedAttempts{}
 		worker.delivery.inFlight = false
 	}
 	clear(r.commandsDue)
--- a/internal/workers/task_ends.go
+++ b/internal/workers/task_ends.go
@@ -39,11 +39,11 @@
 	default:
 		// An unknown cause does not prove the task gone. Once the worker has forgotten
 		// the task, a heartbeat that does not list it is the proof.
-		c.forgetIfTokenAcknowledged(reported)
+		c.forget(reported)
 		return
 	}
 	registry.endPlacement(c.worker, task, EvidenceExited, loss)
-	c.forgetIfTokenAcknowledged(reported)
+	c.forget(reported)
 }
 
 // processCompleted processes a recorded task that the worker lists as done. If the completion
--- a/internal/workers/wire.go
+++ b/internal/workers/wire.go
@@ -83,6 +83,18 @@
 	CheckpointSaved bool      `json:"stored,omitempty"`
 }
 
+// taskAttempt returns the attempt that is listed.
+func (t *ReportedTask) taskAttempt() taskAttempt { return taskAttempt{t.Name, t.Attempt} }
+
+// listedAttempts returns all attempts that the heartbeat lists.
+func (h *Heartbeat) listedAttempts() map[taskAttempt]bool {
+	listed := make(map[taskAttempt]bool, len(h.Tasks))
+	for i := range h.Tasks {
+		listed[h.Tasks[i].taskAttempt()] = true
+	}
+	return listed
+}
+
 // Command is a command to a worker.
 type Command struct {
 	Verb     Verb   `json:"verb"`
--- a/internal/workers/worker.go
+++ b/internal/workers/worker.go
@@ -21,6 +21,7 @@
 	delivery commandDelivery
 	images   ImageCache
 	gone     goneTasks
+	ended    endedAttempts
 }
 
 // Machine describes the machine that a worker runs on, as reported in its heartbeats.
