Stand-ins: executed direct commands can arrive once more, and starts are judged by when the command was sent

No stand-in delivered what the operators met: a direct command that was executed and answered arrives at the worker again.

The worker of the simulation, which also serves the real processes of the process tests and of the soak, can now get such copies, 0.2 s to 2 minutes later or just after the lease of a shard or of the leader was written, and executes them by the protocol's rule: token not lower, session equal. Two checks from what the machines see:

- `started_again`: an attempt that was on a machine starts there again;
- `ran_cancelled` also if the command to start a task was sent more than 2.5 s after its job's user was told of the cancellation: 2 s is the greatest age of the knowledge of cancellations under which a launch leaves, half a second is for its way.
All starts after a confirmed cancellation are counted.

--- a/internal/controller/process_faults_test.go
+++ b/internal/controller/process_faults_test.go
@@ -74,26 +74,44 @@
 	})
 }
 
-// tokenHolders finds the controller that was given a shard's fencing token.
+// tokenHolders finds the controller that sends messages under a fencing token: the revision of the
+// lease of a shard, or of a later commit on condition of that lease.
 type tokenHolders struct {
 	byToken map[uint64]string
-	read    int // number of changes of the state service that have been read
+	owners  map[string]string // of the shards, by number
+	read    int               // number of changes of the state service that have been read
 }
 
 // holder returns the name of the controller that was given a token, "" if there is none.
 func (h *tokenHolders) holder(state *simStateService, token uint64) string {
 	if h.byToken == nil {
-		h.byToken = map[uint64]string{}
+		h.byToken, h.owners = map[uint64]string{}, map[string]string{}
 	}
 	for ; h.read < len(state.log); h.read++ {
 		change := state.log[h.read]
-		if strings.HasPrefix(change.key, "lease/block/") && change.value != nil {
-			h.byToken[change.revision] = holderOf(change.value)
+		if shard, isLease := strings.CutPrefix(change.key, "lease/block/"); isLease && change.value != nil {
+			h.owners[shard] = holderOf(change.value)
+			h.byToken[change.revision] = h.owners[shard]
+		} else if shard, isOwners := shardOfOwnersKey(change.key); isOwners {
+			h.byToken[change.revision] = h.owners[shard]
 		}
 	}
 	return h.byToken[token]
 }
 
+// shardOfOwnersKey returns the shard of a key that only the owner of a shard writes, on condition of
+// its lease: work/SHARD/log/PAGE or fence/SHARD.
+func shardOfOwnersKey(key string) (shard string, ok bool) {
+	if shard, ok := strings.CutPrefix(key, "fence/"); ok {
+		return shard, true
+	}
+	parts := strings.Split(key, "/")
+	if len(parts) == 4 && parts[0] == "work" && parts[2] == "log" {
+		return parts[1], true
+	}
+	return "", false
+}
+
 // holderOf returns the node in the value of a lease key.
 func holderOf(value json.RawMessage) string {
 	var holder struct {
@@ -111,9 +129,10 @@
 	}
 	_ = json.Unmarshal(request.Body, &message)
 	sender := d.tokenHolders.holder(d.state, message.Token)
+	sentAt := d.now // about when it was sent
 	unanswered := func() {
 		if !worker.dead {
-			worker.handleCommands(request)
+			worker.handleCommands(request, sentAt)
 		}
 	}
 	switch {
@@ -124,7 +143,7 @@
 	case d.rng.Float64() < d.network.lateShare:
 		d.schedule(d.holdUp(), unanswered)
 	default:
-		worker.receiveCommands(d.controllerNamed(sender), request, reply)
+		worker.receiveCommands(d.controllerNamed(sender), request, sentAt, reply)
 	}
 }
 
--- a/internal/controller/rule_checker_test.go
+++ b/internal/controller/rule_checker_test.go
@@ -34,7 +34,7 @@
 
 // startTask starts a task on the machine without any controller.
 func (w *simWorker) startTask(job *simJob, index, attempt int) {
-	w.launch(command{Verb: "launch", Task: fmt.Sprintf("%s/%d", job.id, index), Attempt: uint64(attempt)})
+	w.launch(command{Verb: "launch", Task: fmt.Sprintf("%s/%d", job.id, index), Attempt: uint64(attempt)}, w.sim.now)
 }
 
 // rewriteRecord crashes all controllers, which restart after 100 ms, and replaces a job's record
--- a/internal/controller/sim_heartbeat_test.go
+++ b/internal/controller/sim_heartbeat_test.go
@@ -156,7 +156,7 @@
 		if json.Unmarshal(response.Body, &answer) == nil && answer.Token >= w.token && session == w.session {
 			w.token = answer.Token
 			w.leaseFrom = max(w.leaseFrom, sentAt)
-			w.execute(answer.Commands)
+			w.execute(answer.Commands, w.sim.now)
 		}
 		w.nextHeartbeat(time.Duration(500+rng.IntN(1000)) * time.Millisecond * time.Duration(max(1, w.sim.heartbeats.slowdown)))
 		return
--- a/internal/controller/sim_rule_checker_test.go
+++ b/internal/controller/sim_rule_checker_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"lemonmoor/internal/tuning"
 )
 
 // rule is the name of a kind of violation. The first group is from PROTOCOL, section "Rules";
@@ -19,6 +21,7 @@
 	ruleInvented     rule = "invented"      // a job that nobody submitted gets an answer other than 404
 	ruleNotDone      rule = "not_done"      // a job is reported as done before all its tasks have completed
 	ruleWentBack     rule = "went_back"     // a final phase changes, or a job is cancelled without a request
+	ruleStartedAgain rule = "started_again" // an attempt starts on a machine where it was before
 
 	ruleInvariant        rule = "invariant"         // a controller has found one of its invariants violated
 	ruleNeglected        rule = "neglected"         // a job that could run still waits long after the last fault
@@ -35,7 +38,10 @@
 	neglectLimit   = 90 * time.Second // time after the last fault from which a job that could run must not wait
 	answerLimit    = 75 * time.Second // time after the last fault by which every controller must have answered about a job
 	promptCommands = 3 * time.Second  // maximum age of a command if no fault delays commands
-	checkInterval  = 500 * time.Millisecond
+	// launchKnowledgeLimit is the time after a job's cancellation within which a command to launch
+	// a task of it may still reach a machine: the age of the owner's knowledge, and the way.
+	launchKnowledgeLimit = tuning.MaxLaunchKnowledgeAge + 500*time.Millisecond
+	checkInterval        = 500 * time.Millisecond
 )
 
 // violation is a violation of a rule at a time of a simulated day.
@@ -56,6 +62,8 @@
 	sim        *simulation
 	violations []violation
 	starts     int // tasks started
+	// startsCancelled counts the tasks started after their job's cancellation.
+	startsCancelled int
 
 	faultsOverAt   time.Duration // end of the faults, from which no job may be neglected; 0: not known
 	commandsPrompt bool          // no fault delays commands: no task may start more than promptCommands after its job's cancellation
@@ -150,6 +158,18 @@
 	c.checkStartsCancelled(worker, task, job)
 }
 
+// checkLaunchedOnce checks that an attempt has not been on the machine before.
+func (c *ruleChecker) checkLaunchedOnce(worker *simWorker, task *simTask) {
+	attempt := taskAttempt{task.name, task.attempt}
+	if worker.launched[attempt] {
+		c.recordViolation(ruleStartedAgain, "%s, attempt %d, starts on %s, where it was before", task.name, task.attempt, worker.id)
+	}
+	if worker.launched == nil {
+		worker.launched = map[taskAttempt]bool{}
+	}
+	worker.launched[attempt] = true
+}
+
 // checkRanTwice checks that the task is on no other machine.
 func (c *ruleChecker) checkRanTwice(worker *simWorker, task *simTask, found stateAtStart) {
 	for _, other := range found.otherWorkers {
@@ -191,14 +211,19 @@
 }
 
 // checkStartsCancelled checks that no task of a cancelled job starts after cancelLimit or, if
-// commandsPrompt is set, after promptCommands.
+// commandsPrompt is set, after promptCommands, and that the command to start it was not sent after
+// launchKnowledgeLimit.
 func (c *ruleChecker) checkStartsCancelled(worker *simWorker, task *simTask, job *simJob) {
 	if job.cancelledAt == 0 {
 		return
 	}
+	c.startsCancelled++
 	if late := c.sim.now - job.cancelledAt; late > c.cancelLimit() || (c.commandsPrompt && late > promptCommands) {
 		c.recordViolation(ruleRanCancelled, "%s starts on %s %v after the cancellation of its job", task.name, worker.id, late)
 	}
+	if late := task.commandedAt - job.cancelledAt; late > launchKnowledgeLimit {
+		c.recordViolation(ruleRanCancelled, "the command to start %s on %s was sent %v after the cancellation of its job", task.name, worker.id, late)
+	}
 }
 
 // checkPeriodically checks all machines and jobs every checkInterval.
--- a/internal/controller/sim_state_service_test.go
+++ b/internal/controller/sim_state_service_test.go
@@ -379,6 +379,7 @@
 		s.keys[operation.Set] = &storedValue{operation.Value, s.revision, operation.LeaseID}
 		if strings.HasPrefix(operation.Set, "lease/block/") || operation.Set == "lease/lead" {
 			s.sim.releaseRetainedHeartbeats()
+			s.sim.releaseRetainedCommands()
 		}
 		s.log = append(s.log, storedChange{operation.Set, operation.Value, s.revision})
 	}
--- a/internal/controller/sim_worker_test.go
+++ b/internal/controller/sim_worker_test.go
@@ -30,8 +30,15 @@
 	heartbeatAwaitsAnswer bool
 	heartbeatSentAt       time.Duration // when the last heartbeat was sent
 
-	tasks  []*simTask
-	faults workerFaults
+	tasks    []*simTask
+	launched map[taskAttempt]bool // attempts that have been on the machine, or were refused
+	faults   workerFaults
+}
+
+// taskAttempt names one attempt of a task.
+type taskAttempt struct {
+	task    string
+	attempt uint64
 }
 
 // workerFaults are the faults of one machine and of its network connection.
@@ -62,6 +69,7 @@
 	attempt       uint64
 	phase         taskPhase
 	cause         string        // why it ended
+	commandedAt   time.Duration // when the command to launch it was sent
 	saved         bool          // whether its progress was saved when it was halted
 	generation    int           // incremented when it ends or is killed, which invalidates earlier timers
 	gang          *simGang      // nil for a task of an array or a service
@@ -137,10 +145,10 @@
 // receiveCommands executes a controller's direct commands, unless a fault delays or loses
 // them. Delayed commands are not answered, except those of a machine that hangs, which it
 // answers when it resumes.
-func (w *simWorker) receiveCommands(from *simController, request http1.ClientRequest, reply func(http1.Response)) {
+func (w *simWorker) receiveCommands(from *simController, request http1.ClientRequest, sentAt time.Duration, reply func(http1.Response)) {
 	handleUnanswered := func() {
 		if !w.dead {
-			w.handleCommands(request)
+			w.handleCommands(request, sentAt)
 		}
 	}
 	faults := &w.faults
@@ -154,12 +162,18 @@
 			w.sim.schedule(faults.partitionedUntil-w.sim.now, handleUnanswered)
 		}
 	default:
-		w.whenResponsive(func() { reply(w.handleCommands(request)) })
+		w.whenResponsive(func() {
+			response := w.handleCommands(request, sentAt)
+			if response.Status == 200 {
+				w.copyCommands(request)
+			}
+			reply(response)
+		})
 	}
 }
 
-// handleCommands answers POST /orders.
-func (w *simWorker) handleCommands(request http1.ClientRequest) http1.Response {
+// handleCommands answers POST /orders for commands that were sent at sentAt.
+func (w *simWorker) handleCommands(request http1.ClientRequest, sentAt time.Duration) http1.Response {
 	w.expireLease()
 	var body struct {
 		Token    uint64    `json:"baton"`
@@ -173,15 +187,15 @@
 		return http1.Response{Status: 409, Body: w.heartbeatBody()}
 	}
 	w.token = body.Token
-	w.execute(body.Commands)
+	w.execute(body.Commands, sentAt)
 	if len(body.Commands) > 0 {
 		w.reportChange()
 	}
 	return http1.Response{Status: 200, Body: w.heartbeatBody()}
 }
 
-// execute executes commands in order.
-func (w *simWorker) execute(commands []command) {
+// execute executes commands that were sent at sentAt, in order.
+func (w *simWorker) execute(commands []command, sentAt time.Duration) {
 	for _, command := range commands {
 		i := slices.IndexFunc(w.tasks, func(task *simTask) bool {
 			return task.name == command.Task && task.attempt == command.Attempt
@@ -189,7 +203,7 @@
 		switch command.Verb {
 		case "launch":
 			if i < 0 {
-				w.launch(command)
+				w.launch(command, sentAt)
 			}
 		case "halt":
 			if i >= 0 && w.tasks[i].phase != phaseEnded {
@@ -213,8 +227,9 @@
 }
 
 // launch starts a task, or refuses it: a refused task ends immediately.
-func (w *simWorker) launch(command command) {
-	task := &simTask{name: command.Task, attempt: command.Attempt, phase: phaseRunning}
+func (w *simWorker) launch(command command, sentAt time.Duration) {
+	task := &simTask{name: command.Task, attempt: command.Attempt, phase: phaseRunning, commandedAt: sentAt}
+	w.sim.checker.checkLaunchedOnce(w, task)
 	w.tasks = append(w.tasks, task)
 	job := w.sim.jobs[task.jobID()]
 	if cause := w.refusal(task, job); cause != "" {
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -85,11 +85,12 @@
 	workers     map[string]*simWorker // by address
 	jobs        map[string]*simJob
 
-	network     networkFaults
-	stateFaults stateFaults
-	stateLimits stateLimits
-	heartbeats  heartbeatFaults
-	users       userBehavior
+	network       networkFaults
+	stateFaults   stateFaults
+	stateLimits   stateLimits
+	heartbeats    heartbeatFaults
+	commandCopies commandCopies
+	users         userBehavior
 
 	commandsRefused bool          // connections for direct commands to workers fail at once
 	imageFetchTime  time.Duration // average time to fetch an image; 0: no fetching
