Shard: a former owner's copy of the log raises no alarm

What operators saw: `invariant violated invariant=status_on_page` (an error) by a controller that the state service had refused for some seconds, though nothing was wrong. When the former owner is served again, its copy of the log is up to date before its copy of the leases is, and its page (-1) differs.

Cause: the check took its own token for the present one. Another owner can write only after this one's lease has ended, so the check now needs a lease that is surely valid.

--- a/internal/shard/log_check.go
+++ b/internal/shard/log_check.go
@@ -24,6 +24,9 @@
 	if !s.loaded || now-check.checkedAt < tuning.LogCheckInterval || s.writer.pacing.inFlight > 0 || s.deps.Records.Revision() < check.newestRevision {
 		return
 	}
+	if !s.deps.Leases.LeaseValid() {
+		return // the copy may hold commits of a later owner already
+	}
 	check.checkedAt = now
 	for _, group := range s.tasks.groups {
 		record := s.deps.Records.Get(group.Key)
--- a/internal/shard/log_pages_test.go
+++ b/internal/shard/log_pages_test.go
@@ -219,3 +219,17 @@
 		t.Error("the status is not written again")
 	}
 }
+
+// TestFormerOwnerDoesNotCompareItsPages guards against an alarm of an owner whose lease may have
+// ended: its copy of the log may hold the commits of a later owner.
+func TestFormerOwnerDoesNotCompareItsPages(t *testing.T) {
+	service, node := newShardOwner(t, 1)
+	task := node.place("vm-1")
+	service.Run(time.Second)
+	task.Log.Page++
+	service.AdvanceClock(time.Minute) // no renewal has been answered
+	node.tasks.CheckLog()
+	if got := node.tasks.deps.Metrics.Violations(metrics.InvariantStatusOnPage); got != 0 {
+		t.Errorf("without a valid lease: %d violations, want 0", got)
+	}
+}
