Workers: an attempt is forgotten only under a higher token than its direct launch

Cause: a direct message that was executed and answered may arrive once more at any later time, and is executed if its token and session match. The only thing that makes its launches void is the worker's memory of the attempts, and the owner had that memory dropped by a `forget` under the very token of the launch. Class: what makes a message idempotent is removed while copies of the message can still be executed; no bound on time helps, since the protocol gives none on lateness.

The worker takes the token in first and refuses the copies from then on. Launches of earlier terms had lower tokens; launches in answers are not executed late.

The higher token costs no write in ordinary times: the revision of every commit that has the shard's token as a condition is one, since the lease was still this owner's at that revision, and any later owner, of any version, gets its token by a later commit. Commits stay guarded by the lease key's revision, no term ends, nothing is read again, and only the worker that has something to forget learns the token, in the answer that tells it to. While a direct message to it is in flight the token stays, since the worker would refuse that message. If nothing is committed, `fence/B` is put for its revision, at most once in half a worker's lease, or at once if a worker retains a quarter of tuning.MaxListedAttempts; beyond that number a worker that has attempts to retain gets no more tasks.

Asserted at run time: a forget never leaves under a token that is too low (`forget_is_safe`), and an attempt that was forgotten does not run (`ended_stays_ended`; halted at once).

--- a/internal/controller/fault_injection_test.go
+++ b/internal/controller/fault_injection_test.go
@@ -38,6 +38,9 @@
 	jobsCancelled             faultName = "jobs are cancelled"
 	jobsCancelledRepeatedly   faultName = "jobs are cancelled one after the other"
 	commandsDelayed           faultName = "commands are delayed"
+	commandsCopied            faultName = "copies of executed commands arrive later"
+	machinesFailTasks         faultName = "machines fail their tasks"
+	jobWatchesSilent          faultName = "watches of the jobs are silent while jobs are cancelled"
 )
 
 // fault is a fault that can be injected into a simulation.
@@ -164,6 +167,24 @@
 		sim.network.lateShare = 0.05
 		sim.schedule(drawn.duration, func() { sim.network.lateShare = 0 })
 	}},
+	{commandsCopied, func(sim *simulation, drawn injection) {
+		sim.commandCopies.share = 0.6
+		sim.schedule(drawn.duration, func() { sim.commandCopies.share = 0 })
+	}},
+	{machinesFailTasks, func(sim *simulation, drawn injection) {
+		sim.forBusyWorkers(3*sim.faultScale, drawn.variant, func(worker *simWorker) {
+			worker.faults.failsTasks = true
+			sim.schedule(min(drawn.duration, 5*second), func() { worker.faults.failsTasks = false })
+		})
+	}},
+	{jobWatchesSilent, func(sim *simulation, drawn injection) {
+		silence := min(drawn.duration, 8*second)
+		sim.stateFaults.silentWatchPrefix = "job/"
+		sim.schedule(silence, func() { sim.stateFaults.silentWatchPrefix = "" })
+		for i := range 4 {
+			sim.schedule(time.Duration(i)*silence/8, func() { sim.cancelRunningJobs(2) })
+		}
+	}},
 }
 
 // inject injects a fault now.
--- a/internal/controller/processes_test.go
+++ b/internal/controller/processes_test.go
@@ -49,6 +49,9 @@
 	killed                          bool          // the test has ended the process
 }
 
+// processCopyShare is the share of the executed direct commands of which copies arrive later.
+const processCopyShare = 0.5
+
 // processTick is the interval at which the stand-ins run the events that are due.
 const processTick = 5 * time.Millisecond
 
@@ -101,6 +104,7 @@
 	}
 	sim.events = nil
 	sim.state = newSimStateService(sim)
+	sim.commandCopies.share = processCopyShare
 	configure(sim)
 	deployment := &processDeployment{
 		simulation: sim, startedAt: time.Now(), dir: t.TempDir(), done: make(chan struct{}),
--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -164,6 +164,7 @@
 	sim.network.repeatShare = rapid.SampledFrom([]float64{0, 0.01}).Draw(t, "repeat")
 	sim.imageFetchTime = rapid.SampledFrom([]time.Duration{0, 2 * time.Second, 5 * time.Second}).Draw(t, "fetch")
 	sim.heartbeats.lateCopyShare = rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late copies")
+	sim.commandCopies.share = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "copies of commands")
 	if rapid.Bool().Draw(t, "several shards") {
 		sim.useTwoShards()
 	}
--- a/internal/controller/shard_owner.go
+++ b/internal/controller/shard_owner.go
@@ -20,6 +20,7 @@
 	node          *Node
 	shardIndex    int
 	token         uint64 // the fencing token of the shard's lease, 0 while it is not owned
+	newestToken   uint64 // the highest token for messages to workers, see NewestToken
 	tasks         *shard.TaskStore
 	workers       *workers.Registry
 	planner       *placement.Planner
@@ -42,7 +43,7 @@
 		Settings: node.settings, Handler: owner, Metrics: node.metrics, Log: node.log,
 	})
 	owner.workers = workers.NewRegistry(workers.Dependencies{
-		Runtime: node.runtime, Lease: owner, Tasks: owner.tasks, Scheduler: owner, Settings: node.settings, Metrics: node.metrics,
+		Shard: shardIndex, Runtime: node.runtime, Lease: owner, Tasks: owner.tasks, Scheduler: owner, Settings: node.settings, Metrics: node.metrics,
 		Log: node.log.With("shard", shardIndex),
 	})
 	owner.planner = placement.New(owner.workers, owner, node.settings.WaitBound())
@@ -52,6 +53,21 @@
 // Token returns the fencing token under which the shard is owned, 0 while it is not owned.
 func (s *shardOwner) Token() uint64 { return s.token }
 
+// NewestToken returns the highest fencing token for messages to workers: the revision of the newest
+// commit that had the shard's token as a condition. Later owners, whose tokens are the revisions of
+// later commits, have higher ones.
+func (s *shardOwner) NewestToken() uint64 { return s.newestToken }
+
+// RequestNewerToken requests a commit whose only purpose is its revision.
+func (s *shardOwner) RequestNewerToken() {
+	s.node.leases.CommitUnderToken(s.shardIndex, s.CommittedUnderToken)
+}
+
+// CommittedUnderToken records the revision of a commit that had the shard's token as a condition.
+func (s *shardOwner) CommittedUnderToken(revision uint64) {
+	s.newestToken = max(s.newestToken, revision)
+}
+
 // LeaseValid reports whether the shard's lease is certain to be valid now.
 func (s *shardOwner) LeaseValid() bool { return s.token != 0 && s.node.leases.LeaseValid() }
 
@@ -124,7 +140,7 @@
 
 // beginTerm starts a term of ownership under a new fencing token.
 func (s *shardOwner) beginTerm(token uint64) {
-	s.token, s.statuses.fullNeeded = token, true
+	s.token, s.newestToken, s.statuses.fullNeeded = token, token, true
 	s.planner.Reset()
 	s.workers.EndTerm()
 	if s.drainExecutor != nil {
@@ -135,7 +151,7 @@
 
 // endTerm ends the term of ownership.
 func (s *shardOwner) endTerm() {
-	s.token = 0
+	s.token, s.newestToken = 0, 0
 	s.tasks.EndTerm()
 	s.planner.Reset()
 	s.workers.EndTerm()
--- a/internal/controller/soak_plan_test.go
+++ b/internal/controller/soak_plan_test.go
@@ -147,6 +147,11 @@
 		}
 		at += time.Duration(4000+rng.IntN(4000)) * millisecond
 	}
+	// Attempts end for every cause while copies of their launches are on their way, and jobs are
+	// cancelled whose tasks are about to be launched.
+	for i, name := range []faultName{machinesFailTasks, jobWatchesSilent, machinesFailTasks} {
+		plan.faults = append(plan.faults, soakFault{length / 4 * time.Duration(i+1), name, injection{rng.IntN(8), 5 * time.Second}})
+	}
 	// Leaders change in series, while teams are at their limits.
 	for i := range 3 {
 		plan.faults = append(plan.faults, soakFault{length/3 + time.Duration(i)*3500*millisecond, leaderRestartsAtOnce, injection{rng.IntN(20), second}})
--- a/internal/controller/soak_test.go
+++ b/internal/controller/soak_test.go
@@ -238,7 +238,7 @@
 }
 
 // checkMet fails the test as not run if the plan has not met its conditions: changes of leader,
-// and a team at its limit.
+// a team at its limit, and copies of executed commands.
 func (r *soak) checkMet(t *testing.T) {
 	leaders := 0
 	for _, change := range r.state.log {
@@ -246,9 +246,11 @@
 			leaders++
 		}
 	}
-	t.Logf("seed %d: %d leaders, teams at their limits %v, %d tasks started, %d jobs", r.plan.seed, leaders, r.atLimit, r.checker.starts, len(r.jobs))
-	if leaders < 2 || len(r.atLimit) == 0 {
-		t.Errorf("not run: %d leaders, want at least 2; teams at their limits: %v, want at least one", leaders, r.atLimit)
+	t.Logf("seed %d: %d leaders, teams at their limits %v, %d tasks started, %d of them after the cancellation of their job, %d copies of commands, %d jobs",
+		r.plan.seed, leaders, r.atLimit, r.checker.starts, r.checker.startsCancelled, r.commandCopies.arrived, len(r.jobs))
+	if leaders < 2 || len(r.atLimit) == 0 || r.commandCopies.arrived == 0 {
+		t.Errorf("not run: %d leaders, want at least 2; teams at their limits: %v, want at least one; %d copies of commands, want at least one",
+			leaders, r.atLimit, r.commandCopies.arrived)
 	}
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,6 +36,9 @@
 	// InvariantEvidenceHolds is violated when a placement is to end on evidence that the state of
 	// its worker contradicts.
 	InvariantEvidenceHolds Invariant = "evidence_holds"
+	// InvariantForgetIsSafe is violated when a worker is to forget an attempt although a copy of
+	// a message that launched it can still be executed.
+	InvariantForgetIsSafe Invariant = "forget_is_safe"
 	// InvariantEndedStaysEnded is violated when a worker lists an attempt as alive that it was told
 	// to forget since it had ended.
 	InvariantEndedStaysEnded Invariant = "ended_stays_ended"
@@ -60,6 +63,8 @@
 	dispatchedTasks prometheus.Counter
 	knowledgeAge    prometheus.Histogram
 	forgets         prometheus.Counter
+	toForget        *prometheus.GaugeVec
+	tokenRequests   *prometheus.CounterVec
 	violations      *prometheus.CounterVec
 }
 
@@ -92,16 +97,22 @@
 		forgets: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "forgets_total", Help: "Commands sent that tell workers to forget attempts that have ended.",
 		}),
+		toForget: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "attempts_to_forget", Help: "Ended attempts that workers may not forget yet, by shard.",
+		}, []string{"shard"}),
+		tokenRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "newer_token_requests_total", Help: "Writes that only serve to get a higher token for messages to workers, by shard.",
+		}, []string{"shard"}),
 		violations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "invariant_violations_total", Help: "Violations of invariants found at run time.",
 		}, []string{"invariant"}),
 	}
 	created.registry.MustRegister(
 		created.leaderToken, created.shardTokens, created.launches, created.placementsEnded, created.tokensAcquired, created.dispatchedTasks,
-		created.knowledgeAge, created.forgets, created.violations,
+		created.knowledgeAge, created.forgets, created.toForget, created.tokenRequests, created.violations,
 	)
 	for _, invariant := range []Invariant{
-		InvariantGoneTaskNotListed, InvariantEvidenceHolds, InvariantEndedStaysEnded,
+		InvariantGoneTaskNotListed, InvariantEvidenceHolds, InvariantForgetIsSafe, InvariantEndedStaysEnded,
 		InvariantStatusOnPage, InvariantPlacedOnce, InvariantWithinQuota,
 	} {
 		created.violations.WithLabelValues(string(invariant)) // reported as 0 before the first violation
@@ -139,6 +150,17 @@
 // AddForgets counts commands that tell workers to forget attempts.
 func (m *Metrics) AddForgets(count int) { m.forgets.Add(float64(count)) }
 
+// SetAttemptsToForget records the number of ended attempts that the workers of a shard may not
+// forget yet.
+func (m *Metrics) SetAttemptsToForget(shard, count int) {
+	m.toForget.WithLabelValues(strconv.Itoa(shard)).Set(float64(count))
+}
+
+// AddTokenRequest counts a write that only serves to get a higher token for messages to workers.
+func (m *Metrics) AddTokenRequest(shard int) {
+	m.tokenRequests.WithLabelValues(strconv.Itoa(shard)).Inc()
+}
+
 // Encode returns all metrics in the text format of Prometheus.
 func (m *Metrics) Encode() ([]byte, error) {
 	families, err := m.registry.Gather()
--- a/internal/shard/commit_results.go
+++ b/internal/shard/commit_results.go
@@ -26,6 +26,7 @@
 	w.pages.release(commit.pages, revision)
 	w.pacing.refusals = 0
 	w.check.newestRevision = max(w.check.newestRevision, revision)
+	w.deps.Handler.CommittedUnderToken(revision)
 	for _, written := range commit.statuses {
 		w.markDurable(written, revision)
 	}
--- a/internal/shard/node_test.go
+++ b/internal/shard/node_test.go
@@ -86,6 +86,9 @@
 // PlacementDurable records the task.
 func (n *testNode) PlacementDurable(task *taskstate.Task) { n.durable = append(n.durable, task) }
 
+// CommittedUnderToken does nothing.
+func (n *testNode) CommittedUnderToken(uint64) {}
+
 // RecordsLoaded does nothing.
 func (n *testNode) RecordsLoaded() {}
 
--- a/internal/shard/taskstore.go
+++ b/internal/shard/taskstore.go
@@ -29,6 +29,9 @@
 	// PlacementDurable is called when a task's placement is durable; the task may be
 	// launched from then on.
 	PlacementDurable(task *taskstate.Task)
+	// CommittedUnderToken is called when a commit on condition of the shard's fencing token has
+	// succeeded at a revision, which is lower than the token of any later owner.
+	CommittedUnderToken(revision uint64)
 	// RecordsLoaded is called when the records have been loaded under a new token, before
 	// TaskWaiting is called for any of their tasks.
 	RecordsLoaded()
--- a/internal/statestore/lease_commit.go
+++ b/internal/statestore/lease_commit.go
@@ -18,6 +18,7 @@
 	purposeAssign                         // assign shards, as the leader
 	purposeRenewToken                     // replace the fencing token of one shard
 	purposeRelinquish                     // release shards
+	purposeFence                          // get a revision under the token of one shard
 )
 
 // String returns the purpose's name in logs.
@@ -35,6 +36,8 @@
 		return "renew token"
 	case purposeRelinquish:
 		return "relinquish"
+	case purposeFence:
+		return "fence"
 	}
 	return "purpose " + strconv.Itoa(int(p))
 }
@@ -71,6 +74,11 @@
 // send commits operations. The slot stays busy after the answer: after a success until the
 // watch has had time to report the change, otherwise until the commit may be retried.
 func (c *leaseCommits) send(slot commitSlot, conditions []Condition, operations []Operation) {
+	c.sendThen(slot, conditions, operations, func(uint64) {})
+}
+
+// sendThen is send, and calls fn with the revision of the commit if it has succeeded.
+func (c *leaseCommits) sendThen(slot commitSlot, conditions []Condition, operations []Operation, fn func(revision uint64)) {
 	c.reserve(slot)
 	leaseID := c.node.id
 	c.client.Commit(conditions, operations, func(result CommitResult) {
@@ -79,6 +87,7 @@
 		}
 		pause := c.client.Backoff(1)
 		if result.Outcome == OutcomeOK {
+			fn(result.Revision)
 			pause = tuning.MinStateBackoff // for the watch to report the change
 		}
 		c.runtime.After(pause, func() {
--- a/internal/statestore/lease_keys.go
+++ b/internal/statestore/lease_keys.go
@@ -10,6 +10,8 @@
 	leasePrefix = "lease/"
 	nodePrefix  = leasePrefix + "node/"
 	shardPrefix = leasePrefix + "block/"
+	// fencePrefix is outside leasePrefix, so that its changes wake no watch.
+	fencePrefix = "fence/"
 	// LeaderKey is the key of the leader's lease. Its revision is the leader's fencing token.
 	LeaderKey = leasePrefix + "lead"
 )
@@ -17,6 +19,9 @@
 // ShardKey returns the key of a shard's lease. Its revision is the owner's fencing token.
 func ShardKey(shard int) string { return shardPrefix + strconv.Itoa(shard) }
 
+// fenceKey returns the key that the owner of a shard puts for the sake of the revision.
+func fenceKey(shard int) string { return fencePrefix + strconv.Itoa(shard) }
+
 // leaseHolder is the value of a lease key. After a restart a node counts as another holder,
 // since its nonce differs.
 type leaseHolder struct {
--- a/internal/statestore/leases.go
+++ b/internal/statestore/leases.go
@@ -180,6 +180,13 @@
 // old one fail.
 func (m *LeaseManager) RenewToken(shard int) { m.shards.renewToken(shard) }
 
+// CommitUnderToken commits a change on condition of the token of a shard that this process owns,
+// and calls fn with the commit's revision. The tokens of later owners are higher. fn is not called
+// if the commit fails, is not answered, or if the token has been replaced since.
+func (m *LeaseManager) CommitUnderToken(shard int, fn func(revision uint64)) {
+	m.shards.commitUnderToken(shard, fn)
+}
+
 // Refresh brings the copy of the leases up to date after a condition on one of them has
 // failed, without waiting for the watch. fn is called afterwards, also if that failed.
 func (m *LeaseManager) Refresh(fn func()) {
--- a/internal/statestore/leases_test.go
+++ b/internal/statestore/leases_test.go
@@ -235,4 +235,52 @@
 	}
 }
 
+// TestCommitUnderTokenServesThatTokenOnly guards against a revision that counts as a token although
+// another owner may have the shard, or this one a newer token, by then.
+func TestCommitUnderTokenServesThatTokenOnly(t *testing.T) {
+	service, manager := newTestManager(t)
+	service.reply(t, "/grants", `{"permit":5}`)
+	own := holderValue(t, leaseHolder{Node: "node-0", Nonce: 1})
+	manager.table.apply(ShardKey(0), own, 7)
+	manager.evaluate()
+	takeFence := func() request {
+		t.Helper()
+		i := slices.IndexFunc(service.requests, func(r request) bool { return strings.Contains(string(r.call.Body), `"set":"fence/0"`) })
+		if i < 0 {
+			t.Fatal("no commit of fence/0")
+		}
+		r := service.requests[i]
+		service.requests = slices.Delete(service.requests, i, i+1)
+		return r
+	}
+	var revisions []uint64
+	record := func(revision uint64) { revisions = append(revisions, revision) }
+	manager.CommitUnderToken(0, record)
+	first := takeFence()
+	if conditions := first.conditions(t); !slices.Equal(conditions, []Condition{{ShardKey(0), 7}}) {
+		t.Errorf("conditions %v, want %s at revision 7", conditions, ShardKey(0))
+	}
+	first.answer(http1.Response{Status: 200, Body: []byte(`{"epoch":9}`)}, nil)
+	service.now += time.Second
+	service.fireTimers()
+	for _, answer := range []http1.Response{{Status: 409, Body: []byte(`{"failed":["lease/block/0"],"epoch":12}`)}, {Status: 503}} {
+		manager.CommitUnderToken(0, record)
+		takeFence().answer(answer, nil)
+		service.now += time.Minute
+		service.fireTimers()
+	}
+	manager.CommitUnderToken(0, record)
+	late := takeFence()
+	manager.table.apply(ShardKey(0), own, 20)
+	manager.evaluate()
+	late.answer(http1.Response{Status: 200, Body: []byte(`{"epoch":19}`)}, nil)
+	if !slices.Equal(revisions, []uint64{9}) {
+		t.Errorf("revisions reported: %v, want 9 alone", revisions)
+	}
+	manager.CommitUnderToken(1, record) // not owned
+	if i := slices.IndexFunc(service.requests, func(r request) bool { return strings.Contains(string(r.call.Body), "fence/1") }); i >= 0 {
+		t.Error("a commit for a shard that is not owned was sent")
+	}
+}
+
 var _ eventloop.Runtime = (*fakeService)(nil)
--- a/internal/statestore/shard_leases.go
+++ b/internal/statestore/shard_leases.go
@@ -81,6 +81,22 @@
 	s.commits.send(slot, []Condition{{key, token}}, []Operation{s.node.attach(key)})
 }
 
+// commitUnderToken puts the fence key of a shard on condition of its token, if this process owns
+// it, and calls fn with the revision of the commit, unless the token has been replaced since.
+func (s *shardLeases) commitUnderToken(shard int, fn func(revision uint64)) {
+	slot := commitSlot{purposeFence, shard}
+	token := s.tokens[shard]
+	if token == 0 || s.commits.isBusy(slot) {
+		return
+	}
+	operation := Operation{PutKey: fenceKey(shard), Value: s.node.process.encode()}
+	s.commits.sendThen(slot, []Condition{{ShardKey(shard), token}}, []Operation{operation}, func(revision uint64) {
+		if s.tokens[shard] == token {
+			fn(revision)
+		}
+	})
+}
+
 // relinquishAll relinquishes all shards and abstains from owning any for
 // tuning.AbstainAfterStepDown.
 func (s *shardLeases) relinquishAll() {
--- a/internal/tuning/workers.go
+++ b/internal/tuning/workers.go
@@ -14,6 +14,13 @@
 	AnnounceTimeout = 1500 * time.Millisecond
 	// MaxCommandsPerMessage keeps the line of an answer below 64 KiB (PROTOCOL).
 	MaxCommandsPerMessage = 200
+	// MaxListedAttempts is the number of attempts on a worker, running ones and ended ones that it
+	// may not forget yet, from which it gets no more tasks while any of the latter is among them.
+	// At up to 104 bytes each they stay below the 64 KiB of a report (PROTOCOL).
+	MaxListedAttempts = 512
+	// UrgentAttemptsToForget is the number of ended attempts that a worker may not forget yet from
+	// which a higher token is requested at once.
+	UrgentAttemptsToForget = MaxListedAttempts / 4
 	// CheckpointMargin is the time allowed for a checkpoint command to reach its worker,
 	// including one round of the loop that sends it.
 	CheckpointMargin = 3 * time.Second
--- a/internal/workers/announcements.go
+++ b/internal/workers/announcements.go
@@ -41,15 +41,14 @@
 	for r.announcementsInFlight < tuning.MaxConcurrentAnnouncements && len(r.announceQueue) > 0 {
 		worker := r.announceQueue[0]
 		r.announceQueue, worker.delivery.announcementQueued = r.announceQueue[1:], false
-		token := r.lease.Token()
-		if worker.Token >= token || r.workers[worker.ID] != worker || r.isZonePartitioned(worker.Zone) {
+		if worker.Token >= r.lease.Token() || r.workers[worker.ID] != worker || r.isZonePartitioned(worker.Zone) {
 			continue
 		}
 		// The session of a worker that has not reported to this process is assumed to be 1.
 		// If that is wrong, the worker refuses the message and learns the token with its
 		// next heartbeat.
 		body, ok := r.encodeMessage(worker, CommandMessage{
-			Token: token, Session: max(worker.Session, 1), Commands: r.appendCancellationHalts(worker, []Command{}),
+			Token: r.commandToken(worker), Session: max(worker.Session, 1), Commands: r.appendCancellationHalts(worker, []Command{}),
 		})
 		if !ok {
 			return
@@ -62,7 +61,7 @@
 			}
 			r.announcementsInFlight--
 			if r.workers[worker.ID] == worker && err == nil {
-				r.handleAnnouncementAnswer(worker, response.Body, token)
+				r.handleAnnouncementAnswer(worker, response.Body)
 			}
 		})
 	}
@@ -71,9 +70,9 @@
 // handleAnnouncementAnswer processes the answer to an announcement, which is the worker's
 // heartbeat. It proves that the worker is reachable and that the tasks it lists are on its
 // machine. Like any answer to a command, it does not prove any task gone.
-func (r *Registry) handleAnnouncementAnswer(worker *Worker, body []byte, token uint64) {
+func (r *Registry) handleAnnouncementAnswer(worker *Worker, body []byte) {
 	answer, err := ParseHeartbeat(body)
-	if err != nil || answer.WorkerID != worker.ID || answer.Token != token || answer.Session < worker.Session {
+	if err != nil || answer.WorkerID != worker.ID || !r.acknowledgesTerm(answer.Token) || answer.Session < worker.Session {
 		return
 	}
 	if !worker.HasReported {
--- a/internal/workers/commands.go
+++ b/internal/workers/commands.go
@@ -30,7 +30,7 @@
 			continue // considered again once the answer has arrived
 		}
 		delete(r.commandsDue, worker)
-		if !worker.HasReported || worker.Token != r.lease.Token() || worker.LeaseExpired || worker.Unreachable {
+		if !worker.HasReported || !r.acknowledgesTerm(worker.Token) || worker.LeaseExpired || worker.Unreachable {
 			continue
 		}
 		r.sendDirectCommands(worker)
@@ -65,7 +65,7 @@
 // sendDirectCommands sends a worker its pending launches and halts in one direct message, if
 // there are any. A launch is sent in one message only and never repeated.
 func (r *Registry) sendDirectCommands(worker *Worker) {
-	message := CommandMessage{Token: r.lease.Token(), Session: worker.Session, Commands: []Command{}}
+	message := CommandMessage{Token: r.commandToken(worker), Session: worker.Session, Commands: []Command{}}
 	launched := r.appendLaunches(worker, &message)
 	r.appendHalts(worker, &message)
 	if len(message.Commands) == 0 && !worker.delivery.taskProbeDue {
@@ -115,7 +115,7 @@
 	}
 	knowledgeAge, now := r.lease.KnowledgeAge(), r.runtime.Now()
 	r.metrics.AddLaunches(string(way), len(launched), knowledgeAge.Seconds())
-	r.log.Info("launches sent", "worker", worker.ID, "way", string(way), "tasks", attempts, "token", r.lease.Token(),
+	r.log.Info("launches sent", "worker", worker.ID, "way", string(way), "tasks", attempts, "token", r.commandToken(worker),
 		"session", worker.Session, "seq", worker.Sequence, "lease_age_ms", (now - worker.LeaseRenewedAt).Milliseconds(),
 		"heard_ms", (now - worker.LastHeartbeatAt).Milliseconds(), "knowledge_ms", knowledgeAge.Milliseconds())
 }
@@ -223,7 +223,7 @@
 		for _, task := range launched {
 			task.Gone.Session, task.Gone.AfterSequence = answer.Session, answer.Sequence
 		}
-		if answer.Session == worker.Session && answer.Sequence > worker.Sequence && answer.Token <= r.lease.Token() {
+		if answer.Session == worker.Session && answer.Sequence > worker.Sequence && answer.Token <= r.lease.NewestToken() {
 			r.reconcileCommandAnswer(worker, answer)
 		}
 	case deliveryInDoubt:
--- a/internal/workers/doc.go
+++ b/internal/workers/doc.go
@@ -14,6 +14,9 @@
 //   - launch a task before its placement is durable, without a valid shard lease, or
 //     without a recent verification that its job is not cancelled;
 //   - send one launch in two messages;
+//   - have a worker forget an attempt while a copy of a message that launched it can still be
+//     executed: only a message with a higher token than those of all direct messages of this
+//     term that launched the attempt tells the worker to;
 //   - answer a heartbeat, and thereby renew a worker's lease, when a task on that worker
 //     could as a result outlive the cancellation of its job.
 //
--- a/internal/workers/ended_attempts.go
+++ b/internal/workers/ended_attempts.go
@@ -14,6 +14,8 @@
 	// directLaunches are the direct messages that launched those attempts. An attempt that is
 	// missing was launched by no direct message of this term.
 	directLaunches map[taskAttempt]directLaunch
+	// waiting is the number of listed attempts that the worker may not forget yet.
+	waiting int
 	// forgotten are the latest attempts that the worker was told to forget, a ring buffer.
 	forgotten     []forgottenAttempt
 	nextForgotten int // index in forgotten once that is full
@@ -98,7 +100,7 @@
 	}
 	c.registry.metrics.ReportViolation(c.registry.log, metrics.InvariantEndedStaysEnded, "worker", c.worker.ID,
 		"task", reported.Name, "attempt", reported.Attempt, "phase", string(reported.Phase), "session", c.heartbeat.Session,
-		"seq", c.heartbeat.Sequence, "token_shown", c.heartbeat.Token, "token", c.registry.lease.Token())
+		"seq", c.heartbeat.Sequence, "token_shown", c.heartbeat.Token, "token", c.registry.commandToken(c.worker))
 	c.worker.delivery.pendingHalts = append(c.worker.delivery.pendingHalts, haltCommand(reported.Name, reported.Attempt, 0))
 	c.registry.commandsDue[c.worker] = true
 }
--- a/internal/workers/fixture_test.go
+++ b/internal/workers/fixture_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"log/slog"
 	"slices"
 	"testing"
@@ -21,6 +20,7 @@
 type registryFixture struct {
 	now               time.Duration
 	token             uint64
+	newestToken       uint64 // revision of the newest commit under the token
 	registry          *Registry
 	job               *taskstate.Job
 	calls             []sentRequest // direct messages in flight
@@ -32,15 +32,19 @@
 	// needsVerification is set.
 	cancelledAt, verifiedAt   time.Duration
 	needsVerification         bool
-	tokenRenewalFails         bool          // RenewToken has no effect
+	tokenRenewalFails         bool // RenewToken has no effect
+	commitsFail               bool // nothing is committed, so NewestToken does not grow
+	newerTokenRequests        int
 	leaseInvalid              bool          // the lease may have expired
 	closedByDrain             bool          // operators' drains keep new tasks off the machine
 	previousOwnerAnswersUntil time.Duration // latest time at which an earlier owner may answer
 	worker                    struct {
 		session, sequence, token uint64
 		leaseRenewedAt           time.Duration
-		tasks                    map[string]uint64 // attempts of running tasks
-		everLaunched             map[string]bool   // task@attempt of all launches in this session
+		tasks                    map[string]uint64        // attempts of running tasks
+		ended                    map[taskAttempt]EndCause // until they are forgotten
+		executed                 map[taskAttempt]bool     // launches executed in this session
+		startedAgain             []taskAttempt            // launches executed once more
 	}
 }
 
@@ -60,7 +64,20 @@
 	f.calls = append(f.calls, sentRequest{request.Body, fn})
 }
 
-func (f *registryFixture) Token() uint64    { return f.token }
+func (f *registryFixture) Token() uint64       { return f.token }
+func (f *registryFixture) NewestToken() uint64 { return max(f.token, f.newestToken) }
+
+func (f *registryFixture) RequestNewerToken() {
+	f.newerTokenRequests++
+	f.commit()
+}
+
+// commit commits a change under the token.
+func (f *registryFixture) commit() {
+	if !f.commitsFail {
+		f.newestToken = f.NewestToken() + 1
+	}
+}
 func (f *registryFixture) LeaseValid() bool { return !f.leaseInvalid }
 func (f *registryFixture) MayAnswer() bool {
 	return !f.rejectsHeartbeats && (!f.needsVerification || f.now < f.verifiedAt+f.registry.settings.MaxKnowledgeAge())
@@ -88,9 +105,17 @@
 func (f *registryFixture) IsLoaded() bool                    { return true }
 func (f *registryFixture) Job(string) *taskstate.Job         { return f.job }
 func (f *registryFixture) EachJob(fn func(*taskstate.Job))   { fn(f.job) }
-func (f *registryFixture) TaskChanged(*taskstate.Task, bool) {}
-func (f *registryFixture) TaskDone(task *taskstate.Task)     { task.State = taskstate.StateDone }
-func (f *registryFixture) DropTask(task *taskstate.Task)     { task.State = taskstate.StateDropped }
+func (f *registryFixture) TaskChanged(*taskstate.Task, bool) { f.commit() }
+func (f *registryFixture) TaskDone(task *taskstate.Task) {
+	task.State = taskstate.StateDone
+	f.commit()
+}
+
+func (f *registryFixture) DropTask(task *taskstate.Task) {
+	task.State = taskstate.StateDropped
+	f.commit()
+}
+
 func (f *registryFixture) TaskWaiting(task *taskstate.Task) {
 	if f.onTaskWaiting != nil {
 		f.onTaskWaiting(task)
@@ -103,7 +128,7 @@
 func (f *registryFixture) IsClosedByDrain(string) bool { return f.closedByDrain }
 
 func (f *registryFixture) beginTerm() {
-	f.token++
+	f.token = f.NewestToken() + 1
 	f.registry.EndTerm()
 	f.registry.BeginTerm()
 }
@@ -120,7 +145,7 @@
 	fixture.job = &taskstate.Job{Spec: &jobs.Spec{ID: "wk-1", CPUs: 1, Shape: "array"}, Tasks: map[int]*taskstate.Task{}, Groups: map[string]*taskstate.TaskGroup{}}
 	taskstate.LoadRecord(fixture.job, taskstate.NewRecord(0, "wk-1", 0, index, nil, nil))
 	fixture.worker.session, fixture.worker.leaseRenewedAt = 1, fixture.now
-	fixture.worker.tasks, fixture.worker.everLaunched = map[string]uint64{}, map[string]bool{}
+	fixture.worker.tasks, fixture.worker.ended, fixture.worker.executed = map[string]uint64{}, map[taskAttempt]EndCause{}, map[taskAttempt]bool{}
 	fixture.registry.BeginTerm()
 	return fixture
 }
@@ -137,7 +162,8 @@
 		worker.session++
 		worker.leaseRenewedAt = f.now
 		clear(worker.tasks)
-		clear(worker.everLaunched)
+		clear(worker.ended)
+		clear(worker.executed)
 	}
 }
 
@@ -153,24 +179,46 @@
 		}
 		heartbeat.Tasks = append(heartbeat.Tasks, ReportedTask{Name: name, Attempt: attempt, Phase: phase})
 	}
+	for attempt, cause := range worker.ended {
+		heartbeat.Tasks = append(heartbeat.Tasks, ReportedTask{Name: attempt.name, Attempt: attempt.attempt, Phase: PhaseEnded, Cause: cause})
+	}
 	return heartbeat
 }
 
+// endTask ends a running task on the worker. It is listed until the worker forgets it.
+func (f *registryFixture) endTask(name string, cause EndCause) {
+	attempt := taskAttempt{name, f.worker.tasks[name]}
+	delete(f.worker.tasks, name)
+	f.worker.ended[attempt] = cause
+}
+
+// knows reports whether the worker has an attempt in any state, so that a launch has no effect.
+func (f *registryFixture) knows(attempt taskAttempt) bool {
+	_, hasEnded := f.worker.ended[attempt]
+	return hasEnded || f.worker.tasks[attempt.name] == attempt.attempt
+}
+
 // executeCommands executes commands on the worker.
 func (f *registryFixture) executeCommands(token uint64, commands []Command) {
 	worker := &f.worker
 	worker.token = token
 	for _, command := range commands {
+		attempt := taskAttempt{command.TaskName, command.Attempt}
 		switch command.Verb {
 		case VerbLaunch:
-			if key := fmt.Sprint(command.TaskName, "@", command.Attempt); !worker.everLaunched[key] {
-				worker.everLaunched[key] = true
-				worker.tasks[command.TaskName] = command.Attempt
+			if f.knows(attempt) {
+				continue
+			}
+			if worker.executed[attempt] {
+				worker.startedAgain = append(worker.startedAgain, attempt)
 			}
-		case VerbForget: // applies to ended tasks, which this worker does not list
+			worker.executed[attempt] = true
+			worker.tasks[command.TaskName] = command.Attempt
+		case VerbForget:
+			delete(worker.ended, attempt)
 		case VerbHalt:
 			if worker.tasks[command.TaskName] == command.Attempt {
-				delete(worker.tasks, command.TaskName)
+				f.endTask(command.TaskName, CauseHalted)
 			}
 		}
 	}
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -13,7 +13,7 @@
 // the answer. Only an answer with status 200 renews the worker's lease and carries commands.
 func (r *Registry) HandleHeartbeat(heartbeat *Heartbeat) (status int, body []byte) {
 	token := r.lease.Token()
-	if token == 0 || heartbeat.Token > token || r.released[heartbeat.WorkerID] {
+	if token == 0 || heartbeat.Token > r.lease.NewestToken() || r.released[heartbeat.WorkerID] {
 		return statusNotOwner, NotOwnerBody
 	}
 	worker := r.ensureWorker(heartbeat.WorkerID)
@@ -44,7 +44,7 @@
 		return statusNotOwner, NotOwnerBody
 	}
 	r.renewLease(worker, heartbeat)
-	return encodeAnswer(token, commands)
+	return encodeAnswer(r.commandToken(worker), r.withoutUnsafeForgets(worker, commands))
 }
 
 // recordHeartbeat records the arrival of a worker's heartbeat and the machine it describes.
@@ -72,12 +72,12 @@
 // answer renews the worker's lease and halts tasks of cancelled jobs.
 func (r *Registry) answerWithoutRecords(worker *Worker, heartbeat *Heartbeat) (status int, body []byte) {
 	r.observeSession(worker, heartbeat.Session)
-	worker.Sequence, worker.Token = heartbeat.Sequence, heartbeat.Token
+	worker.Sequence, worker.Token = heartbeat.Sequence, max(worker.Token, heartbeat.Token)
 	if r.mayOutliveCancellation(worker, heartbeat) {
 		return statusNotOwner, NotOwnerBody
 	}
 	r.renewLease(worker, heartbeat)
-	return encodeAnswer(r.lease.Token(), r.haltsOfCancelledTasks(heartbeat))
+	return encodeAnswer(r.commandToken(worker), r.haltsOfCancelledTasks(heartbeat))
 }
 
 func encodeAnswer(token uint64, commands []Command) (status int, body []byte) {
--- a/internal/workers/properties_test.go
+++ b/internal/workers/properties_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"testing"
 	"time"
 
@@ -17,9 +16,10 @@
 // repeated at random.
 type randomExchange struct {
 	*registryFixture
-	t       *rapid.T
-	delayed []sentRequest // direct messages that may still be executed
-	copies  []*Heartbeat  // heartbeats that may arrive again
+	t        *rapid.T
+	delayed  []sentRequest // direct messages that may still be executed
+	executed []sentRequest // direct messages that were executed, of which copies may arrive
+	copies   []*Heartbeat  // heartbeats that may arrive again
 }
 
 // advance moves the clock forward by one of the given durations, drawn at random.
@@ -75,8 +75,10 @@
 	switch rapid.IntRange(0, 3).Draw(e.t, "fate") {
 	case 0:
 		direct.fn(e.deliverDirect(direct), nil)
+		e.executed = append(e.executed, direct)
 	case 1:
 		e.deliverDirect(direct)
+		e.executed = append(e.executed, direct)
 		direct.fn(http1.Response{}, eventloop.ErrNoAnswer)
 	case 2:
 		e.delayed = append(e.delayed, direct)
@@ -94,6 +96,23 @@
 	}
 }
 
+// deliverCopy delivers a copy of a direct message that was executed before.
+func (e *randomExchange) deliverCopy() {
+	if len(e.executed) > 0 {
+		e.deliverDirect(e.executed[rapid.IntRange(0, len(e.executed)-1).Draw(e.t, "copy of a command")])
+	}
+}
+
+// endRunningTask ends one of the worker's running tasks for a drawn cause.
+func (e *randomExchange) endRunningTask() {
+	for _, task := range e.job.Tasks {
+		if name := task.Name(); e.worker.tasks[name] > 0 && rapid.Bool().Draw(e.t, "this task") {
+			e.endTask(name, rapid.SampledFrom([]EndCause{CauseError, CauseHalted, CauseFull, CauseUnknown}).Draw(e.t, "cause"))
+			return
+		}
+	}
+}
+
 // beginTermFromRecords begins a term of an owner that knows only what is in the records.
 func (e *randomExchange) beginTermFromRecords() {
 	for _, task := range e.job.Tasks {
@@ -116,8 +135,8 @@
 			continue
 		}
 		for _, command := range message.Commands {
-			key := fmt.Sprint(command.TaskName, "@", command.Attempt)
-			if command.Verb == VerbLaunch && command.TaskName == task.Name() && command.Attempt == task.Attempt && !e.worker.everLaunched[key] {
+			attempt := taskAttempt{command.TaskName, command.Attempt}
+			if command.Verb == VerbLaunch && attempt == (taskAttempt{task.Name(), task.Attempt}) && !e.knows(attempt) {
 				e.t.Fatalf("task %s, attempt %d, is considered gone but a message in flight can start it", task.Name(), task.Attempt)
 			}
 		}
@@ -125,15 +144,15 @@
 }
 
 // TestTaskConsideredGoneNeitherRunsNorStarts checks that a task that the registry considers gone
-// is not on the machine and that no message in flight can start it there, whichever messages
-// between the registry and the worker are lost, delayed or repeated.
+// is not on the machine and that no message in flight can start it there, and that no attempt
+// starts twice, whichever messages between the registry and the worker are lost, delayed or repeated.
 func TestTaskConsideredGoneNeitherRunsNorStarts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		exchange := &randomExchange{registryFixture: newRegistryFixture(4), t: t}
 		exchange.onTaskWaiting = exchange.requireGone
 		for range rapid.IntRange(10, 80).Draw(t, "steps") {
 			exchange.advance([]int{1, 500, 5000, 20000})
-			switch rapid.IntRange(0, 8).Draw(t, "step") {
+			switch rapid.IntRange(0, 11).Draw(t, "step") {
 			case 0, 1, 2:
 				exchange.sendHeartbeat(true)
 			case 3:
@@ -148,6 +167,15 @@
 				exchange.registry.Tick()
 			case 8:
 				exchange.beginTermFromRecords()
+			case 9:
+				exchange.endRunningTask()
+			case 10:
+				exchange.deliverCopy()
+			case 11:
+				exchange.commitsFail = !exchange.commitsFail
+			}
+			if len(exchange.worker.startedAgain) > 0 {
+				t.Fatalf("%v started again", exchange.worker.startedAgain)
 			}
 		}
 	})
--- a/internal/workers/registry.go
+++ b/internal/workers/registry.go
@@ -18,6 +18,11 @@
 type Lease interface {
 	// Token returns the fencing token under which the shard is owned, or 0 if it is not owned.
 	Token() uint64
+	// NewestToken returns the highest fencing token that messages may carry in this term. It is
+	// at least Token and never decreases; the token of any later term is higher.
+	NewestToken() uint64
+	// RequestNewerToken requests an increase of NewestToken.
+	RequestNewerToken()
 	// LeaseValid reports whether the lease is certain to be valid now.
 	LeaseValid() bool
 	// MayAnswer reports whether heartbeats are processed and answered, which requires that
@@ -67,6 +72,7 @@
 
 // Dependencies are the collaborators of a Registry.
 type Dependencies struct {
+	Shard     int // index of the shard
 	Runtime   eventloop.Runtime
 	Lease     Lease
 	Tasks     TaskStore
@@ -78,6 +84,7 @@
 
 // Registry holds the workers of a shard and the tasks that are or may be on each.
 type Registry struct {
+	shard     int
 	runtime   eventloop.Runtime
 	lease     Lease
 	tasks     TaskStore
@@ -106,12 +113,13 @@
 
 	announceQueue         []*Worker // to which the token has to be announced, see Announce
 	announcementsInFlight int
+	tokenDemand           tokenDemand
 }
 
 // NewRegistry returns a registry without workers.
 func NewRegistry(d Dependencies) *Registry {
 	return &Registry{
-		runtime: d.Runtime, lease: d.Lease, tasks: d.Tasks, scheduler: d.Scheduler, settings: d.Settings, metrics: d.Metrics, log: d.Log,
+		shard: d.Shard, runtime: d.Runtime, lease: d.Lease, tasks: d.Tasks, scheduler: d.Scheduler, settings: d.Settings, metrics: d.Metrics, log: d.Log,
 		workers:              map[string]*Worker{},
 		released:             map[string]bool{},
 		zones:                map[string]*zoneState{},
@@ -160,6 +168,7 @@
 		worker.markReachable()
 	}
 	r.announceQueue, r.announcementsInFlight = nil, 0
+	r.tokenDemand = tokenDemand{requestedAt: r.termBeganAt}
 	r.announceToAll()
 	r.tasks.EachJob(r.recoverPlacements)
 }
@@ -182,7 +191,10 @@
 }
 
 // EndTerm discards the state that is only valid within a term.
-func (r *Registry) EndTerm() { r.forgetTasks() }
+func (r *Registry) EndTerm() {
+	r.forgetTasks()
+	r.metrics.SetAttemptsToForget(r.shard, 0)
+}
 
 func (r *Registry) forgetTasks() {
 	for _, worker := range r.workers {
@@ -212,6 +224,7 @@
 	for _, worker := range r.sortedWorkers {
 		r.checkWorker(worker, now)
 	}
+	r.requestNewerTokenIfDue(now)
 	r.tasks.EachJob(func(job *taskstate.Job) {
 		if job.Gang != nil {
 			r.checkGang(job, now)
--- a/internal/workers/unreachable_workers.go
+++ b/internal/workers/unreachable_workers.go
@@ -38,19 +38,19 @@
 // launch and renews no lease. An answer proves that the worker is reachable again.
 func (r *Registry) probeUnreachableWorker(worker *Worker, now time.Duration) {
 	worker.probedAt = now
-	token := r.lease.Token()
+	term := r.currentTerm()
 	body, ok := r.encodeMessage(worker, CommandMessage{
-		Token: token, Session: worker.Session, Commands: r.appendCancellationHalts(worker, []Command{}),
+		Token: r.commandToken(worker), Session: worker.Session, Commands: r.appendCancellationHalts(worker, []Command{}),
 	})
 	if !ok {
 		return
 	}
 	r.postMessage(worker, body, tuning.CommandTimeout, func(response http1.Response, err error) {
-		if err != nil || r.lease.Token() != token || r.workers[worker.ID] != worker || !worker.Unreachable {
+		if err != nil || r.currentTerm() != term || r.workers[worker.ID] != worker || !worker.Unreachable {
 			return
 		}
 		answer, err := ParseHeartbeat(response.Body)
-		if err != nil || answer.WorkerID != worker.ID || answer.Token < token {
+		if err != nil || answer.WorkerID != worker.ID || answer.Token < term.token {
 			return
 		}
 		r.log.Info("worker is reachable again", "worker", worker.ID)
--- a/internal/workers/wire_test.go
+++ b/internal/workers/wire_test.go
@@ -249,6 +249,7 @@
 	} {
 		t.Run(string(phase), func(t *testing.T) {
 			fixture := newRegistryFixture(1)
+			fixture.commitsFail = true // so that the tokens are 1 and 2
 			fixture.placeAndLaunchAll(t)
 			fixture.beginTerm()
 			fixture.job.Cancelled, fixture.cancelledAt = true, fixture.now
--- a/internal/workers/worker.go
+++ b/internal/workers/worker.go
@@ -139,6 +139,7 @@
 
 // commandDelivery is the state of the direct messages to a worker.
 type commandDelivery struct {
+	token        uint64        // highest token that a message to the worker has carried, see Registry.commandToken
 	inFlight     bool          // a direct message is in flight, and no other may be sent
 	unansweredAt time.Duration // when a direct message last went unanswered
 	// taskProbeDue is set when a direct message is due even without commands, for the task
