Logs: requests for a newer token, and the attempts that a report lists

`newer token requested` shows the writes that only serve to get a higher token for messages to workers, and `forgets sent` how many attempts the report listed, which tells how full reports are.

--- a/internal/workers/forget.go
+++ b/internal/workers/forget.go
@@ -104,7 +104,8 @@
 	}
 	registry.log.Info("forgets sent", "worker", c.worker.ID, "tasks", attempts, "launch_tokens", launchTokens,
 		"token", registry.commandToken(c.worker),
-		"token_shown", c.heartbeat.Token, "session", c.heartbeat.Session, "seq", c.heartbeat.Sequence, "waiting", c.worker.ended.waiting)
+		"token_shown", c.heartbeat.Token, "session", c.heartbeat.Session, "seq", c.heartbeat.Sequence,
+		"listed", len(c.heartbeat.Tasks), "waiting", c.worker.ended.waiting)
 }
 
 // withoutUnsafeForgets asserts that an answer to a worker tells it to forget only what it may. It
@@ -137,6 +138,7 @@
 	if demand.attempts == 0 || (!isUrgent && now-demand.requestedAt < r.settings.WorkerLease()/2) {
 		return
 	}
+	r.log.Info("newer token requested", "waiting", waiting, "urgent", isUrgent, "token", r.lease.NewestToken())
 	*demand = tokenDemand{requestedAt: now}
 	r.metrics.AddTokenRequest(r.shard)
 	r.lease.RequestNewerToken()
