--- a/internal/workers/commands.go
+++ b/internal/workers/commands.go
@@ -2,12 +2,9 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"time"
 
-	"lemonmoor/internal/eventloop"
 	"lemonmoor/internal/http1"
-	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/tuning"
 )
 
@@ -95,65 +92,6 @@
 	})
 }
 
-// launchWay is the way in which a launch is delivered to its worker.
-type launchWay string
-
-const (
-	launchDirect   launchWay = "direct" // in a direct message
-	launchInAnswer launchWay = "answer" // in the answer to a heartbeat
-)
-
-// logLaunches logs the launches that are sent in one message, if there are any, and what allows
-// them: the token, the worker's session and the age of the knowledge of cancellations.
-func (r *Registry) logLaunches(worker *Worker, way launchWay, launched []*taskstate.Task) {
-	if len(launched) == 0 {
-		return
-	}
-	attempts := make([]string, len(launched))
-	for i, task := range launched {
-		attempts[i] = taskAttempt{task.Name(), task.WireAttempt()}.String()
-	}
-	knowledgeAge, now := r.lease.KnowledgeAge(), r.runtime.Now()
-	r.metrics.AddLaunches(string(way), len(launched), knowledgeAge.Seconds())
-	r.log.Info("launches sent", "worker", worker.ID, "way", string(way), "tasks", attempts, "token", r.commandToken(worker),
-		"session", worker.Session, "seq", worker.Sequence, "lease_age_ms", (now - worker.LeaseRenewedAt).Milliseconds(),
-		"heard_ms", (now - worker.LastHeartbeatAt).Milliseconds(), "knowledge_ms", knowledgeAge.Milliseconds())
-}
-
-// clearInFlightLaunches marks launches as no longer in flight. It returns the tasks whose
-// placement has not changed since the launches were sent, reusing the slice launched.
-func clearInFlightLaunches(worker *Worker, launched []*taskstate.Task, attempts []uint64) []*taskstate.Task {
-	unchanged := launched[:0]
-	for i, task := range launched {
-		if worker.Tasks[task] && task.Attempt == attempts[i] && task.Launch.InFlight {
-			task.Launch.InFlight = false
-			unchanged = append(unchanged, task)
-		}
-	}
-	return unchanged
-}
-
-// appendLaunches appends a worker's pending launches to a message and returns their tasks.
-func (r *Registry) appendLaunches(worker *Worker, message *CommandMessage) []*taskstate.Task {
-	if r.isDraining(worker) {
-		return nil
-	}
-	var launched []*taskstate.Task
-	for task := range worker.Tasks {
-		if len(launched) >= tuning.MaxCommandsPerMessage || !task.Launchable() {
-			continue
-		}
-		if !r.lease.CancellationsVerifiedSince(task.PlacedAt) {
-			r.awaitingVerification[worker] = true
-			r.newestAwaitingPlacedAt = max(r.newestAwaitingPlacedAt, task.PlacedAt)
-			continue
-		}
-		launched = append(launched, task)
-		message.Commands = append(message.Commands, launchCommand(task.Name(), task.WireAttempt()))
-	}
-	return launched
-}
-
 // appendHalts appends to a message the halts that have not been sent to the worker yet and
 // those that are due to be repeated. A repeated or late halt cannot end a later attempt, since
 // it names the attempt.
@@ -173,69 +111,3 @@
 	message.Commands = append(message.Commands, worker.delivery.pendingHalts...)
 	worker.delivery.pendingHalts = nil
 }
-
-// deliveryOutcome is the result of sending a direct message.
-type deliveryOutcome int
-
-const (
-	deliveryInDoubt  deliveryOutcome = iota // may have been executed, or may still be
-	deliveryRefused                         // was not executed and will not be
-	deliveryExecuted                        // was executed; the answer lists the resulting tasks
-)
-
-// classifyDelivery returns the outcome of a direct message and the worker's heartbeat from
-// the answer. The heartbeat is nil unless the message was executed.
-func classifyDelivery(worker *Worker, response http1.Response, err error) (deliveryOutcome, *Heartbeat, error) {
-	if errors.Is(err, eventloop.ErrNotSent) {
-		return deliveryRefused, nil, err
-	}
-	if err != nil || (response.Status != statusExecuted && response.Status != statusRefused) {
-		return deliveryInDoubt, nil, err
-	}
-	answer, err := ParseHeartbeat(response.Body)
-	switch {
-	case err != nil:
-		return deliveryInDoubt, nil, err
-	case response.Status == statusRefused:
-		return deliveryRefused, nil, nil
-	case answer.WorkerID != worker.ID:
-		return deliveryInDoubt, nil, nil
-	}
-	return deliveryExecuted, answer, nil
-}
-
-// Statuses of the answers to direct messages (protocol, POST /orders).
-const (
-	statusExecuted = 200
-	statusRefused  = 409 // for a lower token or another session
-)
-
-// handleDirectAnswer processes the answer, or the lack of one, to a direct message that
-// carried the launches of the given tasks.
-func (r *Registry) handleDirectAnswer(worker *Worker, launched []*taskstate.Task, response http1.Response, err error) {
-	outcome, answer, err := classifyDelivery(worker, response, err)
-	switch outcome {
-	case deliveryRefused:
-		for _, task := range launched {
-			task.Launch.Sent, task.Gone.Session, task.Gone.AfterSequence = task.Observed.Reported, 0, 0
-		}
-	case deliveryExecuted:
-		for _, task := range launched {
-			task.Gone.Session, task.Gone.AfterSequence = answer.Session, answer.Sequence
-		}
-		if answer.Session == worker.Session && answer.Sequence > worker.Sequence && answer.Token <= r.lease.NewestToken() {
-			r.reconcileCommandAnswer(worker, answer)
-		}
-	case deliveryInDoubt:
-		for _, task := range launched {
-			task.Launch.InDoubt = !task.Observed.Reported
-		}
-	}
-	if err != nil || response.Status != statusExecuted {
-		// No immediate retry: the answer to the next heartbeat carries the launches.
-		delete(r.commandsDue, worker)
-	}
-	if errors.Is(err, eventloop.ErrNoAnswer) {
-		worker.delivery.unansweredAt = r.runtime.Now()
-	}
-}
--- a/internal/workers/reconcile.go
+++ b/internal/workers/reconcile.go
@@ -192,21 +192,3 @@
 		}
 	}
 }
-
-// appendLaunches appends the pending launches for the worker, to be sent with the answer to
-// its heartbeat.
-func (c *reconciliation) appendLaunches() {
-	registry := c.registry
-	if !registry.lease.LeaseValid() || registry.isDraining(c.worker) || c.worker.Unreachable {
-		return
-	}
-	var launched []*taskstate.Task
-	for task := range c.worker.Tasks {
-		if len(c.commands) < tuning.MaxCommandsPerMessage && task.Launchable() && registry.lease.CancellationsVerifiedSince(task.PlacedAt) {
-			task.Launch.Sent, task.Gone.Session, task.Gone.AfterSequence = true, c.heartbeat.Session, c.heartbeat.Sequence
-			c.commands = append(c.commands, launchCommand(task.Name(), task.WireAttempt()))
-			launched = append(launched, task)
-		}
-	}
-	registry.logLaunches(c.worker, launchInAnswer, launched)
-}
