Soak: cancellations that owner and leader do not hear of, and starts after them

The new trouble leaves the watches of the jobs by owner and leader unanswered, held ones included, while users cancel running and waiting jobs through any controller; everything else goes on. It comes alone at the beginning of each plan, when tasks start all the while, and once more among the others.

--- a/internal/controller/fault_injection_test.go
+++ b/internal/controller/fault_injection_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"lemonmoor/internal/userapi"
 )
 
 // The faults that are drawn at random or combined in scenarios. Each lasts for a duration from
@@ -40,7 +42,7 @@
 	commandsDelayed           faultName = "commands are delayed"
 	commandsCopied            faultName = "copies of executed commands arrive later"
 	machinesFailTasks         faultName = "machines fail their tasks"
-	jobWatchesSilent          faultName = "watches of the jobs are silent while jobs are cancelled"
+	cancelledUnheard          faultName = "jobs are cancelled while owner and leader do not hear of it"
 )
 
 // fault is a fault that can be injected into a simulation.
@@ -177,13 +179,10 @@
 			sim.schedule(min(drawn.duration, 5*second), func() { worker.faults.failsTasks = false })
 		})
 	}},
-	{jobWatchesSilent, func(sim *simulation, drawn injection) {
-		silence := min(drawn.duration, 8*second)
-		sim.stateFaults.silentWatchPrefix = "job/"
-		sim.schedule(silence, func() { sim.stateFaults.silentWatchPrefix = "" })
-		for i := range 4 {
-			sim.schedule(time.Duration(i)*silence/8, func() { sim.cancelRunningJobs(2) })
-		}
+	{cancelledUnheard, func(sim *simulation, drawn injection) {
+		sim.silenceWatches(userapi.KeyPrefix, min(drawn.duration, 8*second), sim.ownerOfShard0(), sim.leader())
+		sim.cancelRunningJobs(1 + drawn.variant)
+		sim.cancelWaitingJobs(12)
 	}},
 }
 
--- a/internal/controller/sim_state_faults_test.go
+++ b/internal/controller/sim_state_faults_test.go
@@ -11,6 +11,7 @@
 	outage             bool            // all requests get 503
 	refusedControllers map[string]bool // requests of these controllers get 503, by name
 	silentWatchPrefix  string          // watches of this key prefix are not answered
+	silentWatchers     map[string]bool // the controllers for which that holds, by name; nil: all
 	latency            time.Duration   // half of it is added in each direction, 25 times it in one of twelve cases
 	lateCommitShare    float64         // share of transactions executed 2 to 12 s late, unanswered
 	lostAnswerShare    float64         // share of transactions executed immediately, unanswered
@@ -47,6 +48,26 @@
 	})
 }
 
+// silenceWatches leaves the watches of a key prefix by some controllers unanswered for a duration.
+func (s *simulation) silenceWatches(prefix string, d time.Duration, controllers ...*simController) {
+	watchers := map[string]bool{}
+	for _, controller := range controllers {
+		if controller != nil {
+			watchers[controller.name] = true
+		}
+	}
+	s.stateFaults.silentWatchPrefix, s.stateFaults.silentWatchers = prefix, watchers
+	s.schedule(d, func() {
+		s.stateFaults.silentWatchPrefix = ""
+		s.state.notifyWatches()
+	})
+}
+
+// isSilent reports whether the watches of a controller are not answered.
+func (f *stateFaults) isSilent(prefix, controller string) bool {
+	return f.silentWatchPrefix != "" && prefix == f.silentWatchPrefix && (f.silentWatchers == nil || f.silentWatchers[controller])
+}
+
 // unavailableTo reports whether a fault prevents the service from answering a controller.
 func (s *simStateService) unavailableTo(controller string) bool {
 	return s.sim.stateFaults.outage || s.sim.stateFaults.refusedControllers[controller]
--- a/internal/controller/sim_state_service_test.go
+++ b/internal/controller/sim_state_service_test.go
@@ -127,7 +127,7 @@
 // notifyWatches answers the open watches that have changes to report.
 func (s *simStateService) notifyWatches() {
 	for _, watch := range s.watches {
-		if !watch.answered && !s.unavailableTo(watch.from) {
+		if !watch.answered && !s.unavailableTo(watch.from) && !s.sim.stateFaults.isSilent(watch.prefix, watch.from) {
 			if response, changed := s.changes(watch.prefix, watch.since); changed {
 				watch.answered = true
 				watch.reply(response)
@@ -190,7 +190,7 @@
 // watch answers GET /watch at the first change or at the end of its waiting time.
 func (s *simStateService) watch(from string, query url.Values, reply func(http1.Response)) {
 	prefix := query.Get("under")
-	if silent := s.sim.stateFaults.silentWatchPrefix; silent != "" && prefix == silent {
+	if s.sim.stateFaults.isSilent(prefix, from) {
 		return
 	}
 	since, _ := strconv.ParseUint(query.Get("since"), 10, 64)
@@ -203,7 +203,7 @@
 	open := &openWatch{from: from, prefix: prefix, since: since, reply: reply}
 	s.watches = append(s.watches, open)
 	s.sim.schedule(time.Duration(waitMS)*time.Millisecond, func() {
-		if !open.answered && !s.unavailableTo(from) {
+		if !open.answered && !s.unavailableTo(from) && !s.sim.stateFaults.isSilent(prefix, from) {
 			open.answered = true
 			response, _ := s.changes(prefix, since)
 			reply(response)
--- a/internal/controller/sim_workload_test.go
+++ b/internal/controller/sim_workload_test.go
@@ -47,6 +47,18 @@
 	}
 }
 
+// cancelWaitingJobs has users cancel up to count accepted jobs of which no task has started, in the
+// order of their numbers.
+func (s *simulation) cancelWaitingJobs(count int) {
+	cancelled := 0
+	for i := range 1000 {
+		if job := s.jobs[jobID(i)]; job != nil && cancelled < count && job.cancel != nil && !job.cancelRequested && !job.ended() && job.startedAt == 0 {
+			job.cancel()
+			cancelled++
+		}
+	}
+}
+
 // cancelledBetween returns the number of jobs whose users were first told of the cancellation
 // after from and not after to.
 func (s *simulation) cancelledBetween(from, to time.Duration) int {
--- a/internal/controller/soak_plan_test.go
+++ b/internal/controller/soak_plan_test.go
@@ -119,8 +119,9 @@
 		burstAt   = 3 * time.Second
 		burst     = 24               // jobs
 		burstRun  = 12 * time.Second // of the tasks of these jobs, at least
+		alone     = 10 * time.Second // in which only cancellations go unheard, so that tasks start all the while
 	)
-	plan.until = length
+	plan.until = alone + length
 	for number := range soakTeams {
 		plan.fillers = append(plan.fillers, soakJob{at: fillersAt, spec: fillerJob(1000+number, plan.limit)})
 	}
@@ -133,11 +134,11 @@
 			plan.burst = append(plan.burst, job)
 			continue
 		}
-		job.at = time.Duration(float64(i-burst) / jobsPerSecond * float64(second))
+		job.at = alone + time.Duration(float64(i-burst)/jobsPerSecond*float64(second))
 		plan.jobs = append(plan.jobs, job)
 	}
 	all := append(append([]fault{}, faults...), processFaults...)
-	for at := time.Duration(0); at < plan.until; {
+	for at := alone; at < plan.until; {
 		for range 2 + rng.IntN(2) { // that overlap
 			drawn := injection{rng.IntN(8), time.Duration(1000+rng.IntN(17000)) * millisecond}
 			if rng.IntN(4) == 0 { // longer than a lease, and the answers of an earlier owner
@@ -149,12 +150,16 @@
 	}
 	// Attempts end for every cause while copies of their launches are on their way, and jobs are
 	// cancelled whose tasks are about to be launched.
-	for i, name := range []faultName{machinesFailTasks, jobWatchesSilent, machinesFailTasks} {
-		plan.faults = append(plan.faults, soakFault{length / 4 * time.Duration(i+1), name, injection{rng.IntN(8), 5 * time.Second}})
+	for i, name := range []faultName{cancelledUnheard, machinesFailTasks, cancelledUnheard, machinesFailTasks} {
+		at := time.Duration(0)
+		if i > 0 {
+			at = alone + length*time.Duration(i)/4
+		}
+		plan.faults = append(plan.faults, soakFault{at, name, injection{rng.IntN(8), 8 * time.Second}})
 	}
 	// Leaders change in series, while teams are at their limits.
 	for i := range 3 {
-		plan.faults = append(plan.faults, soakFault{length/3 + time.Duration(i)*3500*millisecond, leaderRestartsAtOnce, injection{rng.IntN(20), second}})
+		plan.faults = append(plan.faults, soakFault{alone + length/3 + time.Duration(i)*3500*millisecond, leaderRestartsAtOnce, injection{rng.IntN(20), second}})
 	}
 	return plan
 }
--- a/internal/controller/soak_test.go
+++ b/internal/controller/soak_test.go
@@ -26,6 +26,9 @@
 	soakRecovery = neglectLimit + 10*time.Second
 	// soakFillLimit is the time within which every team must have been seen at its limit.
 	soakFillLimit = 60 * time.Second
+	// startsPerCancelled is the least number of starts for each that comes after the confirmed
+	// cancellation of its job.
+	startsPerCancelled = 100
 	// soakReport is the interval between two heartbeats of a worker, in multiples of a second.
 	soakReport = 2
 )
@@ -98,6 +101,7 @@
 	run.waitForRecovery(time.Since(run.startedAt) + soakRecovery)
 	run.withLock(func() {
 		run.checkRulesAndCompletion(t)
+		run.checkStartsCancelled(t)
 		run.checkMet(t)
 	})
 	run.checkProcesses(t)
@@ -237,6 +241,14 @@
 	}
 }
 
+// checkStartsCancelled fails the test if more than one start in startsPerCancelled comes after the
+// confirmed cancellation of its job. Commands in flight are all that may be.
+func (r *soak) checkStartsCancelled(t *testing.T) {
+	if late, starts := r.checker.startsCancelled, r.checker.starts; late*startsPerCancelled > starts {
+		t.Errorf("%d of %d tasks started after the cancellation of their job, want at most one in %d", late, starts, startsPerCancelled)
+	}
+}
+
 // checkMet fails the test as not run if the plan has not met its conditions: changes of leader,
 // a team at its limit, and copies of executed commands.
 func (r *soak) checkMet(t *testing.T) {
