Workers: the assertion on forgets covers every answer to a heartbeat

Answers are encoded in one place, which holds back a forget under too low a token and counts it. TestUnsafeForgetDoesNotLeave now goes through that place: it fails if the assertion is taken out.

--- a/internal/workers/command_copies_test.go
+++ b/internal/workers/command_copies_test.go
@@ -253,8 +253,9 @@
 	fixture.launchDirectly(t, 0)
 	attempt := taskAttempt{fixture.job.Tasks[0].Name(), 1}
 	commands := []Command{{Verb: VerbForget, TaskName: attempt.name, Attempt: attempt.attempt}, haltCommand(attempt.name, 1, 0)}
-	if left := fixture.registry.withoutUnsafeForgets(worker, commands); len(left) != 1 || left[0].Verb != VerbHalt {
-		t.Errorf("commands that leave: %v, want the halt alone", left)
+	status, body := fixture.registry.encodeAnswer(worker, commands)
+	if left := commandsOf(t, body); status != statusAnswered || len(left) != 1 || left[0].Verb != VerbHalt {
+		t.Errorf("answered %d, commands that leave: %v, want %d and the halt alone", status, left, statusAnswered)
 	}
 	fixture.expectViolations(t, metrics.InvariantForgetIsSafe, 1)
 }
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -44,7 +44,7 @@
 		return statusNotOwner, NotOwnerBody
 	}
 	r.renewLease(worker, heartbeat)
-	return encodeAnswer(r.commandToken(worker), r.withoutUnsafeForgets(worker, commands))
+	return r.encodeAnswer(worker, commands)
 }
 
 // recordHeartbeat records the arrival of a worker's heartbeat and the machine it describes.
@@ -77,14 +77,16 @@
 		return statusNotOwner, NotOwnerBody
 	}
 	r.renewLease(worker, heartbeat)
-	return encodeAnswer(r.commandToken(worker), r.haltsOfCancelledTasks(heartbeat))
+	return r.encodeAnswer(worker, r.haltsOfCancelledTasks(heartbeat))
 }
 
-func encodeAnswer(token uint64, commands []Command) (status int, body []byte) {
+// encodeAnswer returns the status and the body of an answer that renews the worker's lease and
+// carries commands.
+func (r *Registry) encodeAnswer(worker *Worker, commands []Command) (status int, body []byte) {
 	if commands == nil {
 		commands = []Command{}
 	}
-	body, err := json.Marshal(CommandMessage{Token: token, Commands: commands})
+	body, err := json.Marshal(CommandMessage{Token: r.commandToken(worker), Commands: r.withoutUnsafeForgets(worker, commands)})
 	if err != nil {
 		return statusNotOwner, NotOwnerBody
 	}
