--- a/internal/controller/sim_controller_test.go
+++ b/internal/controller/sim_controller_test.go
@@ -66,9 +66,13 @@
 	case sim.commandsRefused:
 		sim.schedule(time.Millisecond, func() { back(http1.Response{}, eventloop.ErrNotSent) })
 	default:
-		sentAt := sim.now
-		sim.send(from, "workers", timeout, func(reply func(http1.Response)) {
-			if worker := sim.workers[addr]; worker != nil {
+		sentAt, worker := sim.now, sim.workers[addr]
+		host := workersPlace
+		if worker != nil {
+			host = workerHost(worker)
+		}
+		sim.send(from, host, timeout, func(reply func(http1.Response)) {
+			if worker != nil {
 				worker.receiveCommands(r.controller, request, sentAt, reply)
 			}
 		}, back)
--- a/internal/controller/sim_heartbeat_test.go
+++ b/internal/controller/sim_heartbeat_test.go
@@ -68,7 +68,7 @@
 	body := w.heartbeatBody()
 	controller := w.sim.controllers[w.controllerIndex]
 	w.copyHeartbeat(body)
-	controller.request("workers", "POST", "/agent/beat", body, 4*time.Second, func(response http1.Response, err error) {
+	controller.request(workerHost(w), "POST", "/agent/beat", body, 4*time.Second, func(response http1.Response, err error) {
 		if w.dead || number != w.heartbeatNumber {
 			return
 		}
@@ -127,7 +127,7 @@
 func (w *simWorker) copyHeartbeat(body []byte) {
 	sim, heartbeats := w.sim, &w.sim.heartbeats
 	deliver := func(controller *simController) {
-		controller.request("workers", "POST", "/agent/beat", body, time.Second, func(http1.Response, error) {})
+		controller.request(workerHost(w), "POST", "/agent/beat", body, time.Second, func(http1.Response, error) {})
 	}
 	if sim.rng.Float64() < heartbeats.lateCopyShare {
 		// The copy reaches a random controller 1 to 60 s late, which may be several worker
--- a/internal/controller/sim_network_test.go
+++ b/internal/controller/sim_network_test.go
@@ -8,7 +8,7 @@
 )
 
 // networkFaults are the faults of the network. Its endpoints are the controllers by name,
-// "state", "cloud", "workers", "users" and "operators".
+// "state", "cloud", "workers", "users" and "operators". A single machine is "workers/ID".
 type networkFaults struct {
 	lossShare   float64         // share of messages lost, in each direction
 	lateShare   float64         // share of requests executed up to a minute late, unanswered
@@ -77,6 +77,7 @@
 
 // partitioned reports whether a partition separates two endpoints.
 func (s *simulation) partitioned(a, b string) bool {
+	a, b = placeOf(a), placeOf(b)
 	return s.network.partitions[a+"|"+b] || s.network.partitions[b+"|"+a]
 }
 
@@ -88,6 +89,10 @@
 		request.handlePartition()
 		return
 	}
+	if s.links != nil {
+		request.sendOverLinks()
+		return
+	}
 	s.schedule(timeout, request.timeOut)
 	roll := s.rng.Float64()
 	switch {
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -86,6 +86,7 @@
 	jobs        map[string]*simJob
 
 	network       networkFaults
+	links         *simLinks // nil: no links hold messages back
 	stateFaults   stateFaults
 	stateLimits   stateLimits
 	heartbeats    heartbeatFaults
