Workers: a report from before a message that lists a task does not prove it gone

A task ran on two machines under one owner, one session and one token.

Cause: a launch in a direct message that got no answer is in doubt until the worker has shown a higher token. The doubt ended as soon as any message listed the attempt, but the number from which a missing entry proves the absence stayed the one of the launch. A link that is held back delivers the launch, a second direct message and a report from before both within a millisecond: the answer to the second message lists the task and ends the doubt, and the older report, which arrives after it, lacks the task and "proves" it gone. It is launched elsewhere, under the same token, without a renewal. The number of the worker's newest heartbeat is no protection, since answers to direct messages do not move it.

Change: what makes an absence provable is one value, taskstate.Launch, whose fields only its methods in one file change, one for each event. A message that lists the attempt raises the number, whichever kind of message it is; a launch in flight or in doubt proves nothing. The assertion on evidence asks the same value. An answer that the worker made before the message was sent, and an answer of another machine, a refusal included, leave the launch in doubt.

--- a/internal/controller/two_faults_test.go
+++ b/internal/controller/two_faults_test.go
@@ -40,7 +40,7 @@
 			controller := sim.ownerOfShard0()
 			for _, tracked := range controller.node.shardOwners[0].workers.Workers() {
 				for task := range tracked.Tasks {
-					if task.PlacementDurable && !task.Launch.Sent {
+					if task.PlacementDurable && !task.Launch.IsSent() {
 						placed++
 					}
 				}
--- a/internal/drain/executor.go
+++ b/internal/drain/executor.go
@@ -109,7 +109,7 @@
 		return true
 	}
 	task := job.Tasks[ref.Index]
-	if task == nil || job.Gang != nil || task.State != taskstate.StatePlaced || task.Attempt != ref.Attempt || !task.Launch.Sent || task.Halt.Decided {
+	if task == nil || job.Gang != nil || task.State != taskstate.StatePlaced || task.Attempt != ref.Attempt || !task.Launch.IsSent() || task.Halt.Decided {
 		return true
 	}
 	if !e.recordsAreFresh() {
--- a/internal/drain/executor_report.go
+++ b/internal/drain/executor_report.go
@@ -104,7 +104,7 @@
 		}
 		machine := ClosedMachine{ID: worker.ID}
 		for task := range worker.Tasks {
-			if task.Launch.Sent && !task.Job.Cancelled {
+			if task.Launch.IsSent() && !task.Job.Cancelled {
 				machine.Tasks = append(machine.Tasks, placedTask(task, now))
 			}
 		}
--- a/internal/drain/executor_test.go
+++ b/internal/drain/executor_test.go
@@ -50,7 +50,8 @@
 	job := taskstate.NewJob(&jobs.Spec{ID: "wk-1", Team: "red", Shape: jobs.ShapeArray, Tasks: 1, CPUs: 1}, 0, true)
 	task := &taskstate.Task{}
 	task.Job, task.State, task.WorkerID = job, taskstate.StatePlaced, "vm-1"
-	task.Attempt, task.Launch.Sent, task.Observed.Running = 3, true, true
+	task.Attempt, task.Observed.Running = 3, true
+	task.Launch.Recover(1)
 	job.Tasks[0] = task
 	worker := &workers.Worker{ID: "vm-1"}
 	worker.HasReported = true
@@ -153,7 +154,7 @@
 	}{
 		"granted attempt":    {func(*testing.T, *executorFixture) {}, 1},
 		"later attempt":      {func(_ *testing.T, f *executorFixture) { f.shard.task.Attempt = 4 }, 0},
-		"not launched":       {func(_ *testing.T, f *executorFixture) { f.shard.task.Launch.Sent = false }, 0},
+		"not launched":       {func(_ *testing.T, f *executorFixture) { f.shard.task.Launch.Place(1) }, 0},
 		"halted already":     {func(_ *testing.T, f *executorFixture) { f.shard.task.Halt.Decided = true }, 0},
 		"job is cancelled":   {func(_ *testing.T, f *executorFixture) { f.shard.job.Cancelled = true }, 0},
 		"drain is paused":    {func(t *testing.T, f *executorFixture) { f.setPhase(t, PhasePaused) }, 1},
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -52,6 +52,12 @@
 	InvariantWithinQuota Invariant = "within_quota"
 )
 
+// Invariants are all invariants.
+var Invariants = []Invariant{
+	InvariantGoneTaskNotListed, InvariantEvidenceHolds, InvariantForgetIsSafe, InvariantEndedStaysEnded,
+	InvariantStatusOnPage, InvariantPlacedOnce, InvariantWithinQuota,
+}
+
 // Metrics are the metrics of one node.
 type Metrics struct {
 	registry        *prometheus.Registry
@@ -111,10 +117,7 @@
 		created.leaderToken, created.shardTokens, created.launches, created.placementsEnded, created.tokensAcquired, created.dispatchedTasks,
 		created.knowledgeAge, created.forgets, created.toForget, created.tokenRequests, created.violations,
 	)
-	for _, invariant := range []Invariant{
-		InvariantGoneTaskNotListed, InvariantEvidenceHolds, InvariantForgetIsSafe, InvariantEndedStaysEnded,
-		InvariantStatusOnPage, InvariantPlacedOnce, InvariantWithinQuota,
-	} {
+	for _, invariant := range Invariants {
 		created.violations.WithLabelValues(string(invariant)) // reported as 0 before the first violation
 	}
 	return created
--- a/internal/taskstate/gang_placement.go
+++ b/internal/taskstate/gang_placement.go
@@ -125,7 +125,7 @@
 // only when the placements of all its tasks in the shard are durable, so that no task is on a
 // worker while it is unknown where the others are to run.
 func (t *Task) Launchable() bool {
-	if !t.PlacementDurable || t.Launch.Sent || t.Job.Cancelled {
+	if !t.PlacementDurable || t.Launch.IsSent() || t.Job.Cancelled {
 		return false
 	}
 	if t.Job.Gang == nil {
--- a/internal/taskstate/job.go
+++ b/internal/taskstate/job.go
@@ -96,7 +96,8 @@
 	t.Log = LogPosition{Page: logPage, Attempt: status.Attempt, State: status.State, Running: status.Running}
 	t.DoneDurable = t.State == StateDone
 	if t.State == StatePlaced {
-		t.PlacementDurable, t.Launch.Sent = true, true
+		t.PlacementDurable = true
+		t.Launch.Recover(0) // the registry's term sets the token
 	}
 }
 
--- a/internal/taskstate/task.go
+++ b/internal/taskstate/task.go
@@ -68,7 +68,6 @@
 	DoneDurable bool
 
 	Launch   Launch
-	Gone     GoneProof
 	Observed Observation
 	Halt     Halt
 	Tried    TriedWorkers
@@ -76,30 +75,6 @@
 	Log      LogPosition
 }
 
-// Launch is the state of the launch command of a placed task. The command is sent in exactly
-// one message. A copy of a direct message may be executed again at any later time, until the
-// worker has seen a higher token than the message's.
-type Launch struct {
-	// Sent is set when the command was sent, or may have been sent under an earlier token.
-	Sent bool
-	// InFlight is set while the command is in a direct message that is not answered yet.
-	InFlight bool
-	// InDoubt is set when that direct message was not answered. The worker may execute it
-	// at any time until it has seen a higher token.
-	InDoubt bool
-	// DirectToken is the token of the direct message with the command, 0 if no direct message
-	// of this term has carried it.
-	DirectToken uint64
-}
-
-// GoneProof specifies which heartbeats prove that a placed task is gone from its worker by
-// not listing it: those that show MinToken or a higher token and, if Session is set, belong
-// to that session and are later than AfterSequence. A heartbeat of a later session than
-// Session is a proof too.
-type GoneProof struct {
-	MinToken, Session, AfterSequence uint64
-}
-
 // Observation is the state of a placed task as shown by heartbeats.
 type Observation struct {
 	// Reported is set once a heartbeat has listed the task.
--- a/internal/workers/cancellations.go
+++ b/internal/workers/cancellations.go
@@ -22,7 +22,7 @@
 func (r *Registry) appendCancellationHalts(worker *Worker, commands []Command) []Command {
 	now := r.runtime.Now()
 	for task := range worker.Tasks {
-		if task.Job.Cancelled && task.Launch.Sent && len(commands) < tuning.MaxCommandsPerMessage {
+		if task.Job.Cancelled && task.Launch.IsSent() && len(commands) < tuning.MaxCommandsPerMessage {
 			task.Halt.CancelSentAt = now
 			commands = append(commands, haltCommand(task.Name(), task.WireAttempt(), 0))
 		}
@@ -54,7 +54,7 @@
 // they reach the worker, otherwise by the expiry of its lease.
 func (r *Registry) mayOutliveCancellation(worker *Worker, heartbeat *Heartbeat) bool {
 	for task := range worker.Tasks {
-		if task.Job.Cancelled && task.Launch.Sent && r.isCancellationOverdue(task.Job.Spec.ID) {
+		if task.Job.Cancelled && task.Launch.IsSent() && r.isCancellationOverdue(task.Job.Spec.ID) {
 			return true
 		}
 	}
--- a/internal/workers/commands.go
+++ b/internal/workers/commands.go
@@ -75,8 +75,7 @@
 	}
 	attempts := make([]uint64, len(launched))
 	for i, task := range launched {
-		task.Launch.Sent, task.Launch.InFlight, task.Launch.DirectToken = true, true, message.Token
-		task.Gone.Session, task.Gone.AfterSequence = worker.Session, worker.Sequence
+		task.Launch.SendDirectly(message.Token, worker.newestHeartbeat())
 		attempts[i] = task.Attempt
 	}
 	r.logLaunches(worker, launchDirect, launched)
@@ -88,7 +87,7 @@
 		}
 		worker.delivery.inFlight = false
 		r.commandsDue[worker] = true
-		r.handleDirectAnswer(worker, clearInFlightLaunches(worker, launched, attempts), response, err)
+		r.handleDirectAnswer(worker, launchesInFlight(worker, launched, attempts), response, err)
 	})
 }
 
@@ -103,7 +102,7 @@
 		}
 	}
 	for task := range worker.Tasks {
-		if task.Job.Cancelled && task.Launch.Sent && r.runtime.Now()-task.Halt.CancelSentAt >= tuning.HaltRetryInterval {
+		if task.Job.Cancelled && task.Launch.IsSent() && r.runtime.Now()-task.Halt.CancelSentAt >= tuning.HaltRetryInterval {
 			message.Commands = r.appendCancellationHalts(worker, message.Commands)
 			break
 		}
--- a/internal/workers/commands_test.go
+++ b/internal/workers/commands_test.go
@@ -37,11 +37,15 @@
 	for _, test := range []struct {
 		name    string
 		do      func(*registryFixture, *Heartbeat)
+		status  int
 		inDoubt bool
 	}{
-		{"another machine", func(_ *registryFixture, heartbeat *Heartbeat) { heartbeat.WorkerID = "vm-2" }, true},
-		{"another session", func(_ *registryFixture, heartbeat *Heartbeat) { heartbeat.Session = 2 }, false},
-		{"overtaken", func(fixture *registryFixture, _ *Heartbeat) { fixture.registry.HandleHeartbeat(fixture.heartbeat()) }, false},
+		{"another machine", func(_ *registryFixture, heartbeat *Heartbeat) { heartbeat.WorkerID = "vm-2" }, 200, true},
+		{"another machine refuses", func(_ *registryFixture, heartbeat *Heartbeat) { heartbeat.WorkerID = "vm-2" }, 409, true},
+		{"made before the message", func(_ *registryFixture, heartbeat *Heartbeat) { heartbeat.Sequence = 1 }, 200, true},
+		{"refusal made before the message", func(_ *registryFixture, heartbeat *Heartbeat) { heartbeat.Sequence = 1 }, 409, true},
+		{"another session", func(_ *registryFixture, heartbeat *Heartbeat) { heartbeat.Session = 2 }, 200, false},
+		{"overtaken", func(fixture *registryFixture, _ *Heartbeat) { fixture.registry.HandleHeartbeat(fixture.heartbeat()) }, 200, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			fixture := newRegistryFixture(1)
@@ -56,9 +60,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			direct.fn(http1.Response{Status: 200, Body: raw}, nil)
-			if worker.UnknownTasks > 0 || task.Launch.InDoubt != test.inDoubt {
-				t.Errorf("after the answer: %d unknown tasks, want 0; launch in doubt %v, want %v", worker.UnknownTasks, task.Launch.InDoubt, test.inDoubt)
+			direct.fn(http1.Response{Status: test.status, Body: raw}, nil)
+			if worker.UnknownTasks > 0 || task.Launch.IsInDoubt() != test.inDoubt {
+				t.Errorf("after the answer: %d unknown tasks, want 0; launch in doubt %v, want %v", worker.UnknownTasks, task.Launch.IsInDoubt(), test.inDoubt)
 			}
 		})
 	}
@@ -140,7 +144,7 @@
 	// The launch in doubt makes the registry renew the token.
 	fixture.registry.HandleHeartbeat(fixture.heartbeat())
 	// As after reloading the records under the new token.
-	task.Launch.InDoubt = false
+	task.Launch.Recover(fixture.token)
 	fixture.worker.token = fixture.token
 	fixture.registry.HandleHeartbeat(fixture.heartbeat())
 	if !fixture.registry.AcceptsTasks(worker) {
--- a/internal/workers/delivery.go
+++ b/internal/workers/delivery.go
@@ -13,15 +13,16 @@
 
 const (
 	deliveryInDoubt  deliveryOutcome = iota // may have been executed, or may still be
-	deliveryRefused                         // was not executed and will not be
+	deliveryNotSent                         // was not executed and will not be
+	deliveryRefused                         // the same, by the worker's answer
 	deliveryExecuted                        // was executed; the answer lists the resulting tasks
 )
 
 // classifyDelivery returns the outcome of a direct message and the worker's heartbeat from
-// the answer. The heartbeat is nil unless the message was executed.
+// the answer. The heartbeat is nil unless the worker has executed or refused the message.
 func classifyDelivery(worker *Worker, response http1.Response, err error) (deliveryOutcome, *Heartbeat, error) {
 	if errors.Is(err, eventloop.ErrNotSent) {
-		return deliveryRefused, nil, err
+		return deliveryNotSent, nil, err
 	}
 	if err != nil || (response.Status != statusExecuted && response.Status != statusRefused) {
 		return deliveryInDoubt, nil, err
@@ -30,10 +31,10 @@
 	switch {
 	case err != nil:
 		return deliveryInDoubt, nil, err
-	case response.Status == statusRefused:
-		return deliveryRefused, nil, nil
 	case answer.WorkerID != worker.ID:
 		return deliveryInDoubt, nil, nil
+	case response.Status == statusRefused:
+		return deliveryRefused, answer, nil
 	}
 	return deliveryExecuted, answer, nil
 }
@@ -48,23 +49,21 @@
 // carried the launches of the given tasks.
 func (r *Registry) handleDirectAnswer(worker *Worker, launched []*taskstate.Task, response http1.Response, err error) {
 	outcome, answer, err := classifyDelivery(worker, response, err)
-	switch outcome {
-	case deliveryRefused:
-		for _, task := range launched {
-			task.Launch.Sent, task.Gone.Session, task.Gone.AfterSequence = task.Observed.Reported, 0, 0
-		}
-	case deliveryExecuted:
-		for _, task := range launched {
-			task.Gone.Session, task.Gone.AfterSequence = answer.Session, answer.Sequence
-		}
-		if answer.Session == worker.Session && answer.Sequence > worker.Sequence && answer.Token <= r.lease.NewestToken() {
-			r.reconcileCommandAnswer(worker, answer)
-		}
-	case deliveryInDoubt:
-		for _, task := range launched {
-			task.Launch.InDoubt = !task.Observed.Reported
+	for _, task := range launched {
+		switch outcome {
+		case deliveryNotSent:
+			task.Launch.NotSent()
+		case deliveryRefused:
+			task.Launch.Refused(answer.number())
+		case deliveryExecuted:
+			task.Launch.Executed(answer.number())
+		case deliveryInDoubt:
+			task.Launch.Unanswered()
 		}
 	}
+	if outcome == deliveryExecuted && answer.Session == worker.Session && answer.Sequence > worker.Sequence && answer.Token <= r.lease.NewestToken() {
+		r.reconcileCommandAnswer(worker, answer)
+	}
 	if err != nil || response.Status != statusExecuted {
 		// No immediate retry: the answer to the next heartbeat carries the launches.
 		delete(r.commandsDue, worker)
@@ -74,13 +73,12 @@
 	}
 }
 
-// clearInFlightLaunches marks launches as no longer in flight. It returns the tasks whose
-// placement has not changed since the launches were sent, reusing the slice launched.
-func clearInFlightLaunches(worker *Worker, launched []*taskstate.Task, attempts []uint64) []*taskstate.Task {
+// launchesInFlight returns the tasks whose placement has not changed since the launches were sent,
+// reusing the slice launched.
+func launchesInFlight(worker *Worker, launched []*taskstate.Task, attempts []uint64) []*taskstate.Task {
 	unchanged := launched[:0]
 	for i, task := range launched {
-		if worker.Tasks[task] && task.Attempt == attempts[i] && task.Launch.InFlight {
-			task.Launch.InFlight = false
+		if worker.Tasks[task] && task.Attempt == attempts[i] && task.Launch.IsInFlight() {
 			unchanged = append(unchanged, task)
 		}
 	}
--- a/internal/workers/drains.go
+++ b/internal/workers/drains.go
@@ -73,7 +73,7 @@
 	}
 	job.EndAttempt(now)
 	for _, task := range job.Tasks {
-		if worker := r.workers[task.WorkerID]; worker != nil && task.State == taskstate.StatePlaced && task.Launch.Sent {
+		if worker := r.workers[task.WorkerID]; worker != nil && task.State == taskstate.StatePlaced && task.Launch.IsSent() {
 			task.DecideHalt(0)
 			r.commandsDue[worker] = true
 		}
--- a/internal/workers/ended_attempts.go
+++ b/internal/workers/ended_attempts.go
@@ -39,13 +39,13 @@
 // retain records the launch of a task whose placement ends. It is needed until the worker has
 // forgotten the attempt.
 func (e *endedAttempts) retain(task *taskstate.Task) {
-	if task.Launch.DirectToken == 0 {
+	if task.Launch.DirectToken() == 0 {
 		return
 	}
 	if e.directLaunches == nil {
 		e.directLaunches = map[taskAttempt]directLaunch{}
 	}
-	e.directLaunches[taskAttempt{task.Name(), task.WireAttempt()}] = directLaunch{token: task.Launch.DirectToken}
+	e.directLaunches[taskAttempt{task.Name(), task.WireAttempt()}] = directLaunch{token: task.Launch.DirectToken()}
 }
 
 // addForgotten records that the answer to the heartbeat with the given sequence number tells the
--- a/internal/workers/fixture_test.go
+++ b/internal/workers/fixture_test.go
@@ -30,11 +30,15 @@
 	// cancelledAt is when the user was told that the job is cancelled, 0 for never;
 	// verifiedAt is the time up to which the owner knows all cancellations, used if
 	// needsVerification is set.
-	cancelledAt, verifiedAt   time.Duration
-	needsVerification         bool
-	tokenRenewalFails         bool // RenewToken has no effect
-	commitsFail               bool // nothing is committed, so NewestToken does not grow
-	newerTokenRequests        int
+	cancelledAt, verifiedAt time.Duration
+	needsVerification       bool
+	tokenRenewalFails       bool // RenewToken has no effect
+	commitsFail             bool // nothing is committed, so NewestToken does not grow
+	newerTokenRequests      int
+	// onCall and onRenewToken replace the fixture's own handling of direct messages and of renewals
+	// if they are set.
+	onCall                    func(direct sentRequest, timeout time.Duration)
+	onRenewToken              func()
 	leaseInvalid              bool          // the lease may have expired
 	closedByDrain             bool          // operators' drains keep new tasks off the machine
 	previousOwnerAnswersUntil time.Duration // latest time at which an earlier owner may answer
@@ -60,7 +64,11 @@
 func (f *registryFixture) CallPeer(string, string, []byte, time.Duration, func([]byte, error)) {
 }
 
-func (f *registryFixture) CallHTTP(_ string, request http1.ClientRequest, _ time.Duration, fn func(http1.Response, error)) {
+func (f *registryFixture) CallHTTP(_ string, request http1.ClientRequest, timeout time.Duration, fn func(http1.Response, error)) {
+	if f.onCall != nil {
+		f.onCall(sentRequest{request.Body, fn}, timeout)
+		return
+	}
 	f.calls = append(f.calls, sentRequest{request.Body, fn})
 }
 
@@ -84,6 +92,10 @@
 }
 
 func (f *registryFixture) RenewToken() {
+	if f.onRenewToken != nil {
+		f.onRenewToken()
+		return
+	}
 	if !f.tokenRenewalFails {
 		f.beginTerm()
 	}
--- a/internal/workers/forget.go
+++ b/internal/workers/forget.go
@@ -37,7 +37,7 @@
 func (r *Registry) directToken(worker *Worker, attempt taskAttempt) uint64 {
 	token := max(worker.ended.directLaunches[attempt].token, worker.gone[attempt].directToken)
 	if task := r.findTask(attempt.name); task != nil && worker.Tasks[task] && task.WireAttempt() == attempt.attempt {
-		token = max(token, task.Launch.DirectToken)
+		token = max(token, task.Launch.DirectToken())
 	}
 	return token
 }
--- a/internal/workers/gangs.go
+++ b/internal/workers/gangs.go
@@ -83,7 +83,7 @@
 		switch {
 		case task.State == taskstate.StateWaiting:
 			r.tasks.TaskDone(task)
-		case task.State == taskstate.StatePlaced && !task.Launch.Sent && worker != nil && worker.Tasks[task]:
+		case task.State == taskstate.StatePlaced && !task.Launch.IsSent() && worker != nil && worker.Tasks[task]:
 			r.endPlacement(worker, task, EvidenceNeverLaunched, taskstate.LossBeforeWaiting)
 		}
 	}
@@ -97,7 +97,7 @@
 	}
 	for _, task := range job.Tasks {
 		isHalting := task.Halt.Decided && task.Halt.WindDownSeconds == 0
-		if worker := r.workers[task.WorkerID]; task.State == taskstate.StatePlaced && task.Launch.Sent && worker != nil && !isHalting {
+		if worker := r.workers[task.WorkerID]; task.State == taskstate.StatePlaced && task.Launch.IsSent() && worker != nil && !isHalting {
 			task.DecideHalt(0)
 			r.commandsDue[worker] = true
 		}
--- a/internal/workers/gone_tasks.go
+++ b/internal/workers/gone_tasks.go
@@ -41,7 +41,7 @@
 	if *g == nil || len(*g) >= maxGoneTasks {
 		*g = goneTasks{}
 	}
-	(*g)[taskAttempt{task.Name(), task.WireAttempt()}] = goneProof{evidence, worker.Session, worker.Sequence, task.Launch.DirectToken}
+	(*g)[taskAttempt{task.Name(), task.WireAttempt()}] = goneProof{evidence, worker.Session, worker.Sequence, task.Launch.DirectToken()}
 }
 
 // contradicts reports whether a message that lists the task as alive shows that the proof was
--- a/internal/workers/heartbeat_test.go
+++ b/internal/workers/heartbeat_test.go
@@ -65,7 +65,8 @@
 	}
 	task := fixture.job.Tasks[0]
 	fixture.registry.PlaceTask(task, fixture.registry.Worker("vm-1"))
-	task.PlacementDurable, task.Launch.Sent = true, true
+	task.PlacementDurable = true
+	task.Launch.Recover(fixture.token)
 	fixture.beginTerm()
 	worker := fixture.registry.Worker("vm-1")
 	end := fixture.registry.leaseExpiresAt(worker)
--- a/internal/workers/invariants_test.go
+++ b/internal/workers/invariants_test.go
@@ -80,7 +80,8 @@
 func TestOldReportAfterALeaseExpiredIsNoViolation(t *testing.T) {
 	fixture := newRegistryFixture(1)
 	task := fixture.job.Tasks[0]
-	task.State, task.WorkerID, task.Attempt, task.Launch.Sent, task.PlacementDurable = taskstate.StatePlaced, "vm-1", 1, true, true
+	task.State, task.WorkerID, task.Attempt, task.PlacementDurable = taskstate.StatePlaced, "vm-1", 1, true
+	task.Launch.Recover(fixture.token)
 	fixture.worker.tasks[task.Name()] = 1
 	fixture.registry.BeginTerm()
 	copied := fixture.heartbeat()
--- a/internal/workers/launches.go
+++ b/internal/workers/launches.go
@@ -61,7 +61,7 @@
 	var launched []*taskstate.Task
 	for task := range c.worker.Tasks {
 		if len(c.commands) < tuning.MaxCommandsPerMessage && task.Launchable() && registry.lease.CancellationsVerifiedSince(task.PlacedAt) {
-			task.Launch.Sent, task.Gone.Session, task.Gone.AfterSequence = true, c.heartbeat.Session, c.heartbeat.Sequence
+			task.Launch.SendInAnswer(c.heartbeat.number())
 			c.commands = append(c.commands, launchCommand(task.Name(), task.WireAttempt()))
 			launched = append(launched, task)
 		}
--- a/internal/workers/lease_test.go
+++ b/internal/workers/lease_test.go
@@ -55,7 +55,8 @@
 	fixture := newRegistryFixture(1)
 	fixture.previousOwnerAnswersUntil = fixture.now + 12*time.Second
 	task := fixture.job.Tasks[0]
-	task.State, task.WorkerID, task.Attempt, task.Launch.Sent, task.PlacementDurable = taskstate.StatePlaced, "vm-1", 1, true, true
+	task.State, task.WorkerID, task.Attempt, task.PlacementDurable = taskstate.StatePlaced, "vm-1", 1, true
+	task.Launch.Recover(fixture.token)
 	fixture.worker.tasks[task.Name()] = 1
 	fixture.registry.BeginTerm()
 	copied := fixture.heartbeat()
@@ -81,7 +82,8 @@
 	fixture.registry.HandleHeartbeat(fixture.heartbeat())
 	fixture.worker.token = fixture.token
 	task := fixture.job.Tasks[0]
-	task.State, task.WorkerID, task.Attempt, task.Launch.Sent, task.PlacementDurable = taskstate.StatePlaced, "vm-1", 1, true, true
+	task.State, task.WorkerID, task.Attempt, task.PlacementDurable = taskstate.StatePlaced, "vm-1", 1, true
+	task.Launch.Recover(fixture.token)
 	fixture.worker.tasks[task.Name()] = 1
 	fixture.beginTerm()
 	fixture.now += 20 * time.Second
--- a/internal/workers/placement_end.go
+++ b/internal/workers/placement_end.go
@@ -55,7 +55,7 @@
 func (r *Registry) takeOff(worker *Worker, task *taskstate.Task, evidence Evidence) bool {
 	if !r.evidenceHolds(worker, task, evidence) {
 		r.metrics.ReportViolation(r.log, metrics.InvariantEvidenceHolds, "worker", worker.ID, "task", task.Name(),
-			"attempt", task.WireAttempt(), "evidence", evidence.String(), "session", worker.Session, "launch_session", task.Gone.Session)
+			"attempt", task.WireAttempt(), "evidence", evidence.String(), "session", worker.Session, "launch_session", task.Launch.NotBefore().Session)
 		return false
 	}
 	r.logPlacementEnd(worker, task, evidence)
@@ -70,13 +70,13 @@
 func (r *Registry) evidenceHolds(worker *Worker, task *taskstate.Task, evidence Evidence) bool {
 	switch evidence {
 	case EvidenceNeverLaunched:
-		return !task.Launch.Sent
+		return !task.Launch.IsSent()
 	case EvidenceExited:
 		return task.Observed.Reported
 	case EvidenceNotListed:
-		return !task.Launch.InFlight && !task.Launch.InDoubt && worker.Token >= task.Gone.MinToken
+		return task.Launch.ProvesAbsence(worker.newestHeartbeat(), worker.Token)
 	case EvidenceLaterSession:
-		return worker.Session > task.Gone.Session
+		return task.Launch.IsVoidInSession(worker.Session)
 	case EvidenceLeaseExpired:
 		return r.runtime.Now()-worker.SessionSeenAt > r.settings.WorkerLease()
 	case EvidenceMachineReleased:
@@ -94,7 +94,8 @@
 	r.metrics.AddPlacementEnded(evidence.String())
 	r.log.Info("placement ended", "worker", worker.ID, "task", task.Name(), "attempt", task.WireAttempt(), "evidence", evidence.String(),
 		"token", r.lease.Token(), "session", worker.Session, "seq", worker.Sequence,
-		"launch_token", task.Launch.DirectToken, "launch_session", task.Gone.Session, "launch_seq", task.Gone.AfterSequence, "in_doubt", task.Launch.InDoubt,
+		"launch_token", task.Launch.DirectToken(), "launch_session", task.Launch.NotBefore().Session, "launch_seq", task.Launch.NotBefore().Sequence,
+		"in_doubt", task.Launch.IsInDoubt(),
 		"lease_age_ms", (now - worker.LeaseRenewedAt).Milliseconds(), "heard_ms", (now - worker.LastHeartbeatAt).Milliseconds())
 }
 
--- a/internal/workers/placements.go
+++ b/internal/workers/placements.go
@@ -41,7 +41,7 @@
 	task.PlacedAt = r.runtime.Now()
 	// Requests the verification now, so that it completes while the placement is committed.
 	r.lease.CancellationsVerifiedSince(task.PlacedAt)
-	task.Gone.MinToken, task.Gone.Session, task.Gone.AfterSequence = r.lease.Token(), 0, 0
+	task.Launch.Place(r.lease.Token())
 	r.addTask(worker, task)
 	r.tasks.TaskChanged(task, true)
 }
--- a/internal/workers/properties_test.go
+++ b/internal/workers/properties_test.go
@@ -116,7 +116,7 @@
 // beginTermFromRecords begins a term of an owner that knows only what is in the records.
 func (e *randomExchange) beginTermFromRecords() {
 	for _, task := range e.job.Tasks {
-		task.Launch.InFlight, task.Launch.InDoubt, task.Gone.Session, task.Gone.AfterSequence, task.Observed.Reported = false, false, 0, 0, false
+		task.Observed.Reported = false
 	}
 	e.beginTerm()
 }
--- a/internal/workers/reconcile.go
+++ b/internal/workers/reconcile.go
@@ -26,13 +26,12 @@
 // returns the commands for the answer. Only a regular heartbeat proves tasks gone, and only
 // its answer carries launches; see reconcileCommandAnswer.
 func (r *Registry) reconcileHeartbeat(worker *Worker, heartbeat *Heartbeat) []Command {
-	isLaterSession := heartbeat.Session > worker.Session && worker.HasReported && worker.Session > 0
 	r.observeSession(worker, heartbeat.Session)
 	worker.Sequence = heartbeat.Sequence
 	rec := r.beginReconciliation(worker, heartbeat)
 	listed := make(taskSet, len(heartbeat.Tasks))
 	rec.processListed(listed)
-	rec.processUnlisted(listed, isLaterSession)
+	rec.processUnlisted(listed)
 	if !rec.tokenAcknowledged {
 		// The worker has not seen the current token yet, so its list proves little.
 		// Cancelled tasks are halted all the same.
@@ -85,14 +84,14 @@
 		return
 	}
 	listed[task] = true
-	if task.Gone.Session > 0 && !task.Observed.Reported {
+	if task.Launch.IsUnseen() {
 		c.worker.LostLaunches = 0 // this launch has reached it
 	}
-	task.Observed.Reported, task.Launch.Sent = true, true
-	if task.Launch.InFlight {
+	task.Observed.Reported = true
+	task.Launch.Listed(c.heartbeat.number())
+	if task.Launch.IsInFlight() {
 		return // the pending answer to the launch reports the phase
 	}
-	task.Launch.InDoubt = false
 	if reported.Phase == PhaseEnded {
 		c.processEnded(task, reported)
 		return
@@ -146,21 +145,21 @@
 // processUnlisted processes the tasks that the records place on this machine and that the
 // heartbeat does not list. It ends the placements of those that this proves gone, and renews
 // the fencing token if a launch is in doubt.
-func (c *reconciliation) processUnlisted(listed taskSet, isLaterSession bool) {
+func (c *reconciliation) processUnlisted(listed taskSet) {
 	registry, worker, heartbeat := c.registry, c.worker, c.heartbeat
 	launchLost := false
 	for task := range worker.Tasks {
-		if listed[task] || !task.Launch.Sent || task.Launch.InFlight {
+		if listed[task] || !task.Launch.IsSent() || task.Launch.IsInFlight() {
 			continue
 		}
 		switch {
-		case task.Gone.Session > 0 && heartbeat.Session > task.Gone.Session, isLaterSession && task.Observed.Reported:
+		case task.Launch.IsVoidInSession(heartbeat.Session):
 			// The worker killed all tasks of the earlier session.
 			registry.endPlacement(worker, task, EvidenceLaterSession, taskstate.LossVanished)
-		case c.tokenAcknowledged && !task.Launch.InDoubt && isNewerThanLaunch(heartbeat, task):
-			launchLost = launchLost || (task.Gone.Session > 0 && !task.Observed.Reported)
+		case c.tokenAcknowledged && task.Launch.ProvesAbsence(heartbeat.number(), heartbeat.Token):
+			launchLost = launchLost || task.Launch.IsUnseen()
 			registry.endPlacement(worker, task, EvidenceNotListed, taskstate.LossVanished)
-		case task.Launch.InDoubt:
+		case task.Launch.IsInDoubt():
 			// The launch may still arrive; a new token makes it void.
 			registry.log.Info("launch in doubt, renewing the fencing token", "worker", worker.ID, "task", task.Name())
 			registry.lease.RenewToken()
@@ -171,13 +170,6 @@
 	}
 }
 
-// isNewerThanLaunch reports whether a heartbeat would list a task if its launch had been
-// executed: it shows the token of the placement and was sent after the launch.
-func isNewerThanLaunch(heartbeat *Heartbeat, task *taskstate.Task) bool {
-	return heartbeat.Token >= task.Gone.MinToken &&
-		(task.Gone.Session == 0 || (heartbeat.Session == task.Gone.Session && heartbeat.Sequence > task.Gone.AfterSequence))
-}
-
 // appendHalts appends halts for the listed tasks that are cancelled or have to be halted.
 func (c *reconciliation) appendHalts(listed taskSet) {
 	for task := range c.worker.Tasks {
--- a/internal/workers/reconcile_test.go
+++ b/internal/workers/reconcile_test.go
@@ -38,8 +38,8 @@
 	direct.fn(http1.Response{}, eventloop.ErrNoAnswer)
 	fixture.now += time.Second
 	fixture.registry.HandleHeartbeat(fixture.heartbeat())
-	if task.State != taskstate.StatePlaced || !task.Launch.InDoubt {
-		t.Fatalf("before the launch is executed: state %v, in doubt %v, want %v, true", task.State, task.Launch.InDoubt, taskstate.StatePlaced)
+	if task.State != taskstate.StatePlaced || !task.Launch.IsInDoubt() {
+		t.Fatalf("before the launch is executed: state %v, in doubt %v, want %v, true", task.State, task.Launch.IsInDoubt(), taskstate.StatePlaced)
 	}
 	fixture.deliverDirect(direct) // late
 	fixture.now += time.Second
@@ -96,7 +96,8 @@
 	fixture := newRegistryFixture(1)
 	worker := fixture.exchangeHeartbeats(t)
 	task := fixture.job.Tasks[0]
-	task.State, task.WorkerID, task.Attempt, task.Launch.Sent, task.PlacementDurable = taskstate.StatePlaced, "vm-1", 2, true, true
+	task.State, task.WorkerID, task.Attempt, task.PlacementDurable = taskstate.StatePlaced, "vm-1", 2, true
+	task.Launch.Recover(fixture.token)
 	fixture.registry.addTask(worker, task)
 	fixture.worker.tasks[task.Name()] = 1
 	fixture.now += time.Second
--- a/internal/workers/registry.go
+++ b/internal/workers/registry.go
@@ -183,7 +183,7 @@
 	for _, group := range job.Groups {
 		for _, task := range group.Tasks {
 			if task.State == taskstate.StatePlaced {
-				task.Gone.MinToken, task.Launch.Sent = token, true
+				task.Launch.Recover(token)
 				r.addTask(r.ensureWorker(task.WorkerID), task)
 			}
 		}
@@ -240,7 +240,7 @@
 		r.checkUnreachableWorker(worker, now)
 	}
 	for task := range worker.Tasks {
-		if task.Launch.Sent {
+		if task.Launch.IsSent() {
 			r.checkLaunchedTask(worker, task, now)
 		} else if r.cannotLaunch(worker, task, now) {
 			r.endPlacement(worker, task, EvidenceNeverLaunched, taskstate.LossBeforeWaiting)
--- a/internal/workers/wire.go
+++ b/internal/workers/wire.go
@@ -9,6 +9,7 @@
 
 	"lemonmoor/internal/http1"
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/taskstate"
 )
 
 // NotOwnerBody is the body of the 503 answer of a node that may not act for the controllers.
@@ -86,6 +87,11 @@
 // taskAttempt returns the attempt that is listed.
 func (t *ReportedTask) taskAttempt() taskAttempt { return taskAttempt{t.Name, t.Attempt} }
 
+// number returns the heartbeat's position among the messages of its worker.
+func (h *Heartbeat) number() taskstate.MessageNumber {
+	return taskstate.MessageNumber{Session: h.Session, Sequence: h.Sequence}
+}
+
 // listedAttempts returns all attempts that the heartbeat lists.
 func (h *Heartbeat) listedAttempts() map[taskAttempt]bool {
 	listed := make(map[taskAttempt]bool, len(h.Tasks))
--- a/internal/workers/worker.go
+++ b/internal/workers/worker.go
@@ -48,6 +48,11 @@
 	LeaseExpired   bool // the lease expired without a heartbeat; its tasks are considered gone
 }
 
+// newestHeartbeat returns the number of the worker's newest heartbeat.
+func (s *SessionState) newestHeartbeat() taskstate.MessageNumber {
+	return taskstate.MessageNumber{Session: s.Session, Sequence: s.Sequence}
+}
+
 // isStale reports whether a heartbeat is no newer than one that was processed already. Such a
 // heartbeat was delayed on its way: its task list is outdated, and the worker no longer waits
 // for the answer.
