Logs and metrics: the history of a task's placements, and a minutely summary of violated invariants

They are written in one line when a worker lists an attempt that the records do not place there, and with every violated invariant on placements. Once a minute, while there is anything to tell, one line repeats which invariants were violated since the start, how often, and the first case of each in full. The metric lemonmoor_direct_launch_outcomes_total counts launches by what is known of their message: executed, refused, not sent, unanswered.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -13,6 +13,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"lemonmoor/internal/eventloop"
 	"lemonmoor/internal/fleet"
@@ -53,6 +54,8 @@
 	fleet       *fleet.Fleet
 	shardOwners []*shardOwner    // by shard index
 	drains      *drainComponents // nil if drains are disabled
+
+	violationsLoggedAt time.Duration // when the summary of violated invariants was last due
 }
 
 // Start reads the stored number of shards, and then starts the node.
@@ -113,6 +116,15 @@
 	n.leader.RequestRound()
 	n.membership.compareStateHealth()
 	n.redirections.removeExpired(n.runtime.Now())
+	n.logViolationsIfDue()
+}
+
+// logViolationsIfDue logs the violated invariants once every tuning.ViolationSummaryInterval.
+func (n *Node) logViolationsIfDue() {
+	if now := n.runtime.Now(); now >= n.violationsLoggedAt+tuning.ViolationSummaryInterval {
+		n.violationsLoggedAt = now
+		n.metrics.LogViolations(n.log)
+	}
 }
 
 // tickShardOwners makes the shard owners check their workers and send their status. It counts
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -64,6 +64,7 @@
 	leaderToken     prometheus.Gauge
 	shardTokens     *prometheus.GaugeVec
 	launches        *prometheus.CounterVec
+	launchOutcomes  *prometheus.CounterVec
 	placementsEnded *prometheus.CounterVec
 	tokensAcquired  *prometheus.CounterVec
 	dispatchedTasks prometheus.Counter
@@ -72,6 +73,7 @@
 	toForget        *prometheus.GaugeVec
 	tokenRequests   *prometheus.CounterVec
 	violations      *prometheus.CounterVec
+	firstViolations firstViolations
 }
 
 // New returns metrics that are all zero.
@@ -87,6 +89,9 @@
 		launches: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "launches_total", Help: "Launch commands sent, by way of delivery.",
 		}, []string{"way"}),
+		launchOutcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "direct_launch_outcomes_total", Help: "Launch commands in direct messages, by what is known of the message.",
+		}, []string{"outcome"}),
 		placementsEnded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "placements_ended_total", Help: "Placements ended, by evidence that the task is not on its machine.",
 		}, []string{"evidence"}),
@@ -114,7 +119,7 @@
 		}, []string{"invariant"}),
 	}
 	created.registry.MustRegister(
-		created.leaderToken, created.shardTokens, created.launches, created.placementsEnded, created.tokensAcquired, created.dispatchedTasks,
+		created.leaderToken, created.shardTokens, created.launches, created.launchOutcomes, created.placementsEnded, created.tokensAcquired, created.dispatchedTasks,
 		created.knowledgeAge, created.forgets, created.toForget, created.tokenRequests, created.violations,
 	)
 	for _, invariant := range Invariants {
@@ -142,6 +147,11 @@
 	m.knowledgeAge.Observe(knowledgeAgeSeconds)
 }
 
+// AddLaunchOutcomes counts launch commands in a direct message by what is known of the message.
+func (m *Metrics) AddLaunchOutcomes(outcome string, count int) {
+	m.launchOutcomes.WithLabelValues(outcome).Add(float64(count))
+}
+
 // AddPlacementEnded counts a placement that has ended on the given evidence.
 func (m *Metrics) AddPlacementEnded(evidence string) {
 	m.placementsEnded.WithLabelValues(evidence).Inc()
--- a/internal/shard/transitions.go
+++ b/internal/shard/transitions.go
@@ -14,6 +14,7 @@
 // closeTask sets the final state of an open task in this shard.
 func (s *TaskStore) closeTask(task *taskstate.Task, state taskstate.State) {
 	task.State = state
+	task.History.Clear()
 	task.Group.OpenTasks--
 	s.TaskChanged(task, task.Group.OpenTasks == 0)
 }
--- a/internal/taskstate/task.go
+++ b/internal/taskstate/task.go
@@ -73,6 +73,7 @@
 	Tried    TriedWorkers
 	Queue    QueueEntry
 	Log      LogPosition
+	History  History // of its placements, until it is closed
 }
 
 // Observation is the state of a placed task as shown by heartbeats.
--- a/internal/tuning/process.go
+++ b/internal/tuning/process.go
@@ -37,3 +37,7 @@
 	// GCPercent trades memory for processor time below that limit.
 	GCPercent = 200
 )
+
+// ViolationSummaryInterval is the time between two log lines that repeat which invariants were
+// violated.
+const ViolationSummaryInterval = 1 * time.Minute
--- a/internal/workers/commands.go
+++ b/internal/workers/commands.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lemonmoor/internal/http1"
+	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/tuning"
 )
 
@@ -77,6 +78,7 @@
 	for i, task := range launched {
 		task.Launch.SendDirectly(message.Token, worker.newestHeartbeat())
 		attempts[i] = task.Attempt
+		r.addStep(worker, task, taskstate.StepSentDirectly)
 	}
 	r.logLaunches(worker, launchDirect, launched)
 	worker.delivery.inFlight = true
--- a/internal/workers/delivery.go
+++ b/internal/workers/delivery.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 
 	"lemonmoor/internal/eventloop"
 	"lemonmoor/internal/http1"
@@ -18,6 +19,21 @@
 	deliveryExecuted                        // was executed; the answer lists the resulting tasks
 )
 
+// String returns the outcome's name in metrics.
+func (o deliveryOutcome) String() string {
+	switch o {
+	case deliveryInDoubt:
+		return "unanswered"
+	case deliveryNotSent:
+		return "not_sent"
+	case deliveryRefused:
+		return "refused"
+	case deliveryExecuted:
+		return "executed"
+	}
+	return "outcome " + strconv.Itoa(int(o))
+}
+
 // classifyDelivery returns the outcome of a direct message and the worker's heartbeat from
 // the answer. The heartbeat is nil unless the worker has executed or refused the message.
 func classifyDelivery(worker *Worker, response http1.Response, err error) (deliveryOutcome, *Heartbeat, error) {
@@ -50,17 +66,9 @@
 func (r *Registry) handleDirectAnswer(worker *Worker, launched []*taskstate.Task, response http1.Response, err error) {
 	outcome, answer, err := classifyDelivery(worker, response, err)
 	for _, task := range launched {
-		switch outcome {
-		case deliveryNotSent:
-			task.Launch.NotSent()
-		case deliveryRefused:
-			task.Launch.Refused(answer.number())
-		case deliveryExecuted:
-			task.Launch.Executed(answer.number())
-		case deliveryInDoubt:
-			task.Launch.Unanswered()
-		}
+		r.recordDelivery(worker, task, outcome, answer)
 	}
+	r.metrics.AddLaunchOutcomes(outcome.String(), len(launched))
 	if outcome == deliveryExecuted && answer.Session == worker.Session && answer.Sequence > worker.Sequence && answer.Token <= r.lease.NewestToken() {
 		r.reconcileCommandAnswer(worker, answer)
 	}
@@ -73,6 +81,24 @@
 	}
 }
 
+// recordDelivery records the outcome of the direct message that carried a task's launch.
+func (r *Registry) recordDelivery(worker *Worker, task *taskstate.Task, outcome deliveryOutcome, answer *Heartbeat) {
+	switch outcome {
+	case deliveryNotSent:
+		task.Launch.NotSent()
+		r.addStep(worker, task, taskstate.StepNotSent)
+	case deliveryRefused:
+		task.Launch.Refused(answer.number())
+		r.addStepShownBy(worker, task, taskstate.StepRefused, answer.number())
+	case deliveryExecuted:
+		task.Launch.Executed(answer.number())
+		r.addStepShownBy(worker, task, taskstate.StepExecuted, answer.number())
+	case deliveryInDoubt:
+		task.Launch.Unanswered()
+		r.addStep(worker, task, taskstate.StepUnanswered)
+	}
+}
+
 // launchesInFlight returns the tasks whose placement has not changed since the launches were sent,
 // reusing the slice launched.
 func launchesInFlight(worker *Worker, launched []*taskstate.Task, attempts []uint64) []*taskstate.Task {
--- a/internal/workers/ended_attempts.go
+++ b/internal/workers/ended_attempts.go
@@ -100,7 +100,8 @@
 	}
 	c.registry.metrics.ReportViolation(c.registry.log, metrics.InvariantEndedStaysEnded, "worker", c.worker.ID,
 		"task", reported.Name, "attempt", reported.Attempt, "phase", string(reported.Phase), "session", c.heartbeat.Session,
-		"seq", c.heartbeat.Sequence, "token_shown", c.heartbeat.Token, "token", c.registry.commandToken(c.worker))
+		"seq", c.heartbeat.Sequence, "token_shown", c.heartbeat.Token, "token", c.registry.commandToken(c.worker),
+		"history", c.registry.history(reported.Name))
 	c.worker.delivery.pendingHalts = append(c.worker.delivery.pendingHalts, haltCommand(reported.Name, reported.Attempt, 0))
 	c.registry.commandsDue[c.worker] = true
 }
--- a/internal/workers/gone_tasks.go
+++ b/internal/workers/gone_tasks.go
@@ -72,5 +72,6 @@
 	delete(c.worker.gone, attempt) // reported once
 	c.registry.metrics.ReportViolation(c.registry.log, metrics.InvariantGoneTaskNotListed, "worker", c.worker.ID,
 		"task", reported.Name, "attempt", reported.Attempt, "evidence", proof.evidence.String(),
-		"proof_session", proof.session, "proof_seq", proof.sequence, "session", c.heartbeat.Session, "seq", c.heartbeat.Sequence)
+		"proof_session", proof.session, "proof_seq", proof.sequence, "session", c.heartbeat.Session, "seq", c.heartbeat.Sequence,
+		"history", c.registry.history(reported.Name))
 }
--- a/internal/workers/launches.go
+++ b/internal/workers/launches.go
@@ -62,6 +62,7 @@
 	for task := range c.worker.Tasks {
 		if len(c.commands) < tuning.MaxCommandsPerMessage && task.Launchable() && registry.lease.CancellationsVerifiedSince(task.PlacedAt) {
 			task.Launch.SendInAnswer(c.heartbeat.number())
+			registry.addStep(c.worker, task, taskstate.StepSentInAnswer)
 			c.commands = append(c.commands, launchCommand(task.Name(), task.WireAttempt()))
 			launched = append(launched, task)
 		}
--- a/internal/workers/placement_end.go
+++ b/internal/workers/placement_end.go
@@ -55,10 +55,15 @@
 func (r *Registry) takeOff(worker *Worker, task *taskstate.Task, evidence Evidence) bool {
 	if !r.evidenceHolds(worker, task, evidence) {
 		r.metrics.ReportViolation(r.log, metrics.InvariantEvidenceHolds, "worker", worker.ID, "task", task.Name(),
-			"attempt", task.WireAttempt(), "evidence", evidence.String(), "session", worker.Session, "launch_session", task.Launch.NotBefore().Session)
+			"attempt", task.WireAttempt(), "evidence", evidence.String(), "session", worker.Session, "launch_session", task.Launch.NotBefore().Session,
+			"history", r.history(task.Name()))
 		return false
 	}
 	r.logPlacementEnd(worker, task, evidence)
+	task.History.Add(taskstate.Step{
+		At: r.runtime.Now(), Kind: taskstate.StepEnded, Attempt: task.WireAttempt(), WorkerID: worker.ID, Token: r.lease.Token(),
+		Message: worker.newestHeartbeat(), Evidence: evidence.String(),
+	})
 	worker.gone.record(task, evidence, worker)
 	worker.ended.retain(task)
 	r.removeTask(worker, task)
--- a/internal/workers/placements.go
+++ b/internal/workers/placements.go
@@ -31,7 +31,7 @@
 func (r *Registry) PlaceTask(task *taskstate.Task, worker *Worker) {
 	if task.State != taskstate.StateWaiting {
 		r.metrics.ReportViolation(r.log, metrics.InvariantPlacedOnce, "worker", worker.ID, "task", task.Name(),
-			"state", task.State.String(), "placed_on", task.WorkerID)
+			"state", task.State.String(), "placed_on", task.WorkerID, "history", r.history(task.Name()))
 		return
 	}
 	if gang := task.Job.Gang; gang != nil && !worker.HasImage(task.Job.Spec.Image) {
@@ -43,6 +43,7 @@
 	r.lease.CancellationsVerifiedSince(task.PlacedAt)
 	task.Launch.Place(r.lease.Token())
 	r.addTask(worker, task)
+	r.addStep(worker, task, taskstate.StepPlaced)
 	r.tasks.TaskChanged(task, true)
 }
 
--- a/internal/workers/reconcile.go
+++ b/internal/workers/reconcile.go
@@ -16,6 +16,8 @@
 	// ended are the listed attempts that the registry needs no longer; see appendForgets.
 	ended    []*ReportedTask
 	commands []Command // for the answer
+	// earlierUnrecorded are the unrecorded attempts that the worker's last message listed as alive.
+	earlierUnrecorded []taskAttempt
 }
 
 // taskSet is the set of tasks that the records place on a worker's machine and that the
@@ -70,6 +72,7 @@
 // records place on this machine.
 func (c *reconciliation) processListed(listed taskSet) {
 	c.worker.UnknownTasks = 0
+	c.earlierUnrecorded, c.worker.unrecorded = c.worker.unrecorded, nil
 	for i := range c.heartbeat.Tasks {
 		c.processReported(&c.heartbeat.Tasks[i], listed)
 	}
@@ -87,6 +90,9 @@
 	if task.Launch.IsUnseen() {
 		c.worker.LostLaunches = 0 // this launch has reached it
 	}
+	if !task.Observed.Reported {
+		registry.addStepShownBy(c.worker, task, taskstate.StepListed, c.heartbeat.number())
+	}
 	task.Observed.Reported = true
 	task.Launch.Listed(c.heartbeat.number())
 	if task.Launch.IsInFlight() {
@@ -124,6 +130,7 @@
 // at all.
 func (c *reconciliation) processUnrecorded(task *taskstate.Task, reported *ReportedTask) {
 	if reported.Phase != PhaseEnded {
+		c.logUnrecorded(reported)
 		c.checkGone(reported)
 		c.checkStaysEnded(reported)
 		c.worker.UnknownTasks++
--- a/internal/workers/registry.go
+++ b/internal/workers/registry.go
@@ -184,7 +184,9 @@
 		for _, task := range group.Tasks {
 			if task.State == taskstate.StatePlaced {
 				task.Launch.Recover(token)
-				r.addTask(r.ensureWorker(task.WorkerID), task)
+				worker := r.ensureWorker(task.WorkerID)
+				r.addTask(worker, task)
+				r.addStep(worker, task, taskstate.StepRecovered)
 			}
 		}
 	}
--- a/internal/workers/worker.go
+++ b/internal/workers/worker.go
@@ -22,6 +22,9 @@
 	images   ImageCache
 	gone     goneTasks
 	ended    endedAttempts
+	// unrecorded are the attempts that the newest message lists as alive although the records do
+	// not place them here.
+	unrecorded []taskAttempt
 }
 
 // Machine describes the machine that a worker runs on, as reported in its heartbeats.
