Invariants: no launch beside another attempt that may run, no term without a higher token, one open record a task

The rule that broke was asserted nowhere: an owner that was shown an attempt alive after its proof of absence counted that, and launched the next attempt all the same.

- An attempt that is shown alive after its proof, or whose record was removed under it, is remembered as stray; no other attempt of the task is launched before a heartbeat, the worker's lease or its release proves the stray one gone (other_attempts_gone, record_outlives_task).
The removal of a record is believed no more to end an attempt.
- A term whose token is not higher than that of the last one proves nothing about launches of the last one, and requests a new token (token_grows).
- A task that is open in two records keeps its first working copy; the other one is not placed (one_open_record).

The two functions that collected pending launches are one, pendingLaunches.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -48,6 +48,18 @@
 	// InvariantPlacedOnce is violated when a task that is placed on a machine, or is over, is to
 	// be placed on another one.
 	InvariantPlacedOnce Invariant = "placed_once"
+	// InvariantOtherAttemptsGone is violated when a task is to be launched while another attempt of
+	// it may run.
+	InvariantOtherAttemptsGone Invariant = "other_attempts_gone"
+	// InvariantRecordOutlivesTask is violated when the record of a task is removed that was launched
+	// and is not proven gone.
+	InvariantRecordOutlivesTask Invariant = "record_outlives_task"
+	// InvariantTokenGrows is violated when a term begins under a token that is not higher than that
+	// of the process's last term.
+	InvariantTokenGrows Invariant = "token_grows"
+	// InvariantOneOpenRecord is violated when two records of a shard name a task that is open in
+	// both.
+	InvariantOneOpenRecord Invariant = "one_open_record"
 	// InvariantWithinQuota is violated when the open tasks in a team's records exceed its quota.
 	InvariantWithinQuota Invariant = "within_quota"
 )
@@ -55,7 +67,8 @@
 // Invariants are all invariants.
 var Invariants = []Invariant{
 	InvariantGoneTaskNotListed, InvariantEvidenceHolds, InvariantForgetIsSafe, InvariantEndedStaysEnded,
-	InvariantStatusOnPage, InvariantPlacedOnce, InvariantWithinQuota,
+	InvariantStatusOnPage, InvariantPlacedOnce, InvariantOtherAttemptsGone, InvariantRecordOutlivesTask, InvariantTokenGrows,
+	InvariantOneOpenRecord, InvariantWithinQuota,
 }
 
 // Metrics are the metrics of one node.
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/userapi"
 )
@@ -20,12 +21,33 @@
 		job = s.newJob(entry)
 		s.tasks.jobs[record.Job] = job
 	}
+	earlier := s.openTwice(job, record)
 	group := taskstate.LoadRecord(job, record)
+	for _, task := range earlier {
+		job.Tasks[task.Index] = task
+	}
 	s.tasks.groups[group.Key] = group
 	s.writer.trackPages(group)
 	return group
 }
 
+// openTwice returns the tasks of a job that are open although a further record, in which they are
+// open too, is about to be added. That never happens while every task is in one open record.
+func (s *TaskStore) openTwice(job *taskstate.Job, record *taskstate.Record) []*taskstate.Task {
+	var twice []*taskstate.Task
+	for position, index := range record.TaskIndexes {
+		task := job.Tasks[index]
+		if task == nil || !task.State.IsOpen() || !record.Statuses[position].State.IsOpen() {
+			continue
+		}
+		twice = append(twice, task)
+		s.deps.Metrics.ReportViolation(s.deps.Log, metrics.InvariantOneOpenRecord, "shard", s.shardIndex, "task", task.Name(),
+			"record", task.Group.Key, "further_record", record.Key, "attempt", task.Attempt, "worker", task.WorkerID,
+			"history", task.History.Text(s.deps.Runtime.Now()))
+	}
+	return twice
+}
+
 // newJob returns the working copy of a catalog entry's job, without tasks.
 func (s *TaskStore) newJob(entry *userapi.Entry) *taskstate.Job {
 	job := taskstate.NewJob(entry.Spec, entry.SubmittedMS, s.deps.Catalog.WithinQuota(entry))
@@ -49,8 +71,8 @@
 // them instead if the job is cancelled.
 func (s *TaskStore) announceWaiting(group *taskstate.TaskGroup) {
 	for _, task := range group.Tasks {
-		if task.State != taskstate.StateWaiting {
-			continue
+		if task.State != taskstate.StateWaiting || group.Job.Tasks[task.Index] != task {
+			continue // also if another record names the task, see openTwice
 		}
 		if group.Job.Cancelled {
 			s.DropTask(task)
--- a/internal/shard/records_test.go
+++ b/internal/shard/records_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/statestore"
 	"lemonmoor/internal/statetest"
 	"lemonmoor/internal/taskstate"
@@ -91,3 +92,23 @@
 		}
 	}
 }
+
+// TestTaskInTwoOpenRecordsIsPlacedOnce guards against two working copies of a task, which would
+// number their attempts apart and run at the same time.
+func TestTaskInTwoOpenRecordsIsPlacedOnce(t *testing.T) {
+	service, node := newShardOwner(t, 1)
+	task := node.place("vm-1")
+	value, err := taskstate.NewRecord(0, jobID, 1, []int{0}, nil, nil).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	waiting := len(node.waiting)
+	service.Commit(&statetest.Commit{Operations: []statestore.Operation{{PutKey: taskstate.RecordKey(0, jobID, 1), Value: value}}})
+	service.Run(time.Second)
+	if violations := node.tasks.deps.Metrics.Violations(metrics.InvariantOneOpenRecord); violations != 1 {
+		t.Errorf("%d violations of %s, want 1", violations, metrics.InvariantOneOpenRecord)
+	}
+	if len(node.waiting) != waiting || node.tasks.Job(jobID).Tasks[0] != task {
+		t.Errorf("%d further tasks announced, the job's task replaced %v, want 0, false", len(node.waiting)-waiting, node.tasks.Job(jobID).Tasks[0] != task)
+	}
+}
--- a/internal/taskstate/job.go
+++ b/internal/taskstate/job.go
@@ -77,7 +77,7 @@
 		*task = Task{Job: job, Group: group, Index: index, Zone: ZoneOf(record.Zones, index)}
 		task.load(record.Statuses[position], int(record.LogPages[position]))
 		job.HasPlacedTask = job.HasPlacedTask || task.Attempt > 0 || task.State == StateDone
-		if task.State == StateWaiting || task.State == StatePlaced {
+		if task.State.IsOpen() {
 			group.OpenTasks++
 		}
 		group.Tasks[position] = task
--- a/internal/taskstate/task.go
+++ b/internal/taskstate/task.go
@@ -24,6 +24,9 @@
 	StateReturned
 )
 
+// IsOpen reports whether a task in this state waits for a machine or may be on one.
+func (s State) IsOpen() bool { return s == StateWaiting || s == StatePlaced }
+
 // String returns the state's name for logs and tests.
 func (s State) String() string {
 	switch s {
--- a/internal/workers/commands.go
+++ b/internal/workers/commands.go
@@ -64,7 +64,10 @@
 // there are any. A launch is sent in one message only and never repeated.
 func (r *Registry) sendDirectCommands(worker *Worker) {
 	message := CommandMessage{Token: r.commandToken(worker), Session: worker.Session, Commands: []Command{}}
-	launched := r.appendLaunches(worker, &message)
+	launched := r.pendingLaunches(worker, tuning.MaxCommandsPerMessage)
+	for _, task := range launched {
+		message.Commands = append(message.Commands, launchCommand(task.Name(), task.WireAttempt()))
+	}
 	r.appendHalts(worker, &message)
 	if len(message.Commands) == 0 && !worker.delivery.taskProbeDue {
 		return
--- a/internal/workers/gone_tasks.go
+++ b/internal/workers/gone_tasks.go
@@ -70,6 +70,10 @@
 		return
 	}
 	delete(c.worker.gone, attempt) // reported once
+	var launch taskstate.Launch
+	launch.Recover(c.registry.lease.Token())
+	launch.Listed(c.heartbeat.number())
+	c.registry.addStray(c.worker, attempt, launch)
 	c.registry.metrics.ReportViolation(c.registry.log, metrics.InvariantGoneTaskNotListed, "worker", c.worker.ID,
 		"task", reported.Name, "attempt", reported.Attempt, "evidence", proof.evidence.String(),
 		"proof_session", proof.session, "proof_seq", proof.sequence, "session", c.heartbeat.Session, "seq", c.heartbeat.Sequence,
--- a/internal/workers/launches.go
+++ b/internal/workers/launches.go
@@ -30,14 +30,15 @@
 		"heard_ms", (now - worker.LastHeartbeatAt).Milliseconds(), "knowledge_ms", knowledgeAge.Milliseconds())
 }
 
-// appendLaunches appends a worker's pending launches to a message and returns their tasks.
-func (r *Registry) appendLaunches(worker *Worker, message *CommandMessage) []*taskstate.Task {
-	if r.isDraining(worker) {
+// pendingLaunches returns up to limit tasks whose launches can be sent to a worker now. Others wait
+// until it is verified that their jobs are not cancelled.
+func (r *Registry) pendingLaunches(worker *Worker, limit int) []*taskstate.Task {
+	if !r.lease.LeaseValid() || r.isDraining(worker) || worker.Unreachable {
 		return nil
 	}
-	var launched []*taskstate.Task
+	var pending []*taskstate.Task
 	for task := range worker.Tasks {
-		if len(launched) >= tuning.MaxCommandsPerMessage || !task.Launchable() {
+		if len(pending) >= limit || !r.mayLaunch(task) {
 			continue
 		}
 		if !r.lease.CancellationsVerifiedSince(task.PlacedAt) {
@@ -45,27 +46,20 @@
 			r.newestAwaitingPlacedAt = max(r.newestAwaitingPlacedAt, task.PlacedAt)
 			continue
 		}
-		launched = append(launched, task)
-		message.Commands = append(message.Commands, launchCommand(task.Name(), task.WireAttempt()))
+		pending = append(pending, task)
 	}
-	return launched
+	return pending
 }
 
 // appendLaunches appends the pending launches for the worker, to be sent with the answer to
 // its heartbeat.
 func (c *reconciliation) appendLaunches() {
 	registry := c.registry
-	if !registry.lease.LeaseValid() || registry.isDraining(c.worker) || c.worker.Unreachable {
-		return
-	}
-	var launched []*taskstate.Task
-	for task := range c.worker.Tasks {
-		if len(c.commands) < tuning.MaxCommandsPerMessage && task.Launchable() && registry.lease.CancellationsVerifiedSince(task.PlacedAt) {
-			task.Launch.SendInAnswer(c.heartbeat.number())
-			registry.addStep(c.worker, task, taskstate.StepSentInAnswer)
-			c.commands = append(c.commands, launchCommand(task.Name(), task.WireAttempt()))
-			launched = append(launched, task)
-		}
+	launched := registry.pendingLaunches(c.worker, tuning.MaxCommandsPerMessage-len(c.commands))
+	for _, task := range launched {
+		task.Launch.SendInAnswer(c.heartbeat.number())
+		registry.addStep(c.worker, task, taskstate.StepSentInAnswer)
+		c.commands = append(c.commands, launchCommand(task.Name(), task.WireAttempt()))
 	}
 	registry.logLaunches(c.worker, launchInAnswer, launched)
 }
--- a/internal/workers/placements.go
+++ b/internal/workers/placements.go
@@ -77,12 +77,21 @@
 	return float64(r.runtime.WallClock().UnixMilli()-job.SubmittedMS) / 1000
 }
 
-// DiscardTask removes a task that was never launched from its machine, after its record has
-// been deleted.
+// DiscardTask removes a task from its machine after its record has been deleted. If it was launched,
+// it may still be there, and no other attempt of it is launched before that is disproved.
 func (r *Registry) DiscardTask(task *taskstate.Task) {
-	if worker := r.workers[task.WorkerID]; worker != nil {
-		r.takeOff(worker, task, EvidenceRecordRemoved)
+	worker := r.workers[task.WorkerID]
+	if worker == nil {
+		return
+	}
+	if task.Launch.IsSent() && r.lease.LeaseValid() {
+		r.metrics.ReportViolation(r.log, metrics.InvariantRecordOutlivesTask, "worker", worker.ID, "task", task.Name(),
+			"attempt", task.WireAttempt(), "history", task.History.Text(r.runtime.Now()))
+	}
+	if task.Launch.IsSent() {
+		r.addStray(worker, taskAttempt{task.Name(), task.WireAttempt()}, task.Launch)
 	}
+	r.takeOff(worker, task, EvidenceRecordRemoved)
 }
 
 func (r *Registry) addTask(worker *Worker, task *taskstate.Task) {
--- a/internal/workers/reconcile.go
+++ b/internal/workers/reconcile.go
@@ -34,6 +34,7 @@
 	listed := make(taskSet, len(heartbeat.Tasks))
 	rec.processListed(listed)
 	rec.processUnlisted(listed)
+	rec.updateStrays()
 	if !rec.tokenAcknowledged {
 		// The worker has not seen the current token yet, so its list proves little.
 		// Cancelled tasks are halted all the same.
--- a/internal/workers/registry.go
+++ b/internal/workers/registry.go
@@ -99,6 +99,10 @@
 	zones         map[string]*zoneState // by name
 
 	termBeganAt time.Duration
+	termToken   uint64 // of the newest term
+	// proofToken is the lowest token that a heartbeat must show to prove that a task launched in an
+	// earlier term is gone.
+	proofToken uint64
 	// listeningSince is the time since which heartbeats have been processed without
 	// interruption. A worker's silence before that time is no evidence against it.
 	listeningSince time.Duration
@@ -111,7 +115,8 @@
 	awaitingVerification   map[*Worker]bool
 	newestAwaitingPlacedAt time.Duration
 
-	announceQueue         []*Worker // to which the token has to be announced, see Announce
+	strays                map[string]*strayAttempt // by the task's name
+	announceQueue         []*Worker                // to which the token has to be announced, see Announce
 	announcementsInFlight int
 	tokenDemand           tokenDemand
 }
@@ -125,6 +130,7 @@
 		zones:                map[string]*zoneState{},
 		commandsDue:          map[*Worker]bool{},
 		awaitingVerification: map[*Worker]bool{},
+		strays:               map[string]*strayAttempt{},
 	}
 }
 
@@ -167,10 +173,12 @@
 		worker.LeaseExpired, worker.delivery.announcementQueued = false, false
 		worker.markReachable()
 	}
+	r.checkTokenGrows()
 	r.announceQueue, r.announcementsInFlight = nil, 0
 	r.tokenDemand = tokenDemand{requestedAt: r.termBeganAt}
 	r.announceToAll()
 	r.tasks.EachJob(r.recoverPlacements)
+	r.recoverStrays(r.proofToken)
 }
 
 // recoverPlacements adds the recorded placements of a job to its workers. They were made by an
@@ -179,11 +187,10 @@
 	if job.Gang != nil {
 		r.recoverGang(job)
 	}
-	token := r.lease.Token()
 	for _, group := range job.Groups {
 		for _, task := range group.Tasks {
 			if task.State == taskstate.StatePlaced {
-				task.Launch.Recover(token)
+				task.Launch.Recover(r.proofToken)
 				worker := r.ensureWorker(task.WorkerID)
 				r.addTask(worker, task)
 				r.addStep(worker, task, taskstate.StepRecovered)
@@ -192,6 +199,19 @@
 	}
 }
 
+// checkTokenGrows asserts that a term has a higher token than the last one of this process: only then
+// are the messages of the last one void for workers that show it. Otherwise no message proves the
+// tasks of the last term gone, and a new token is requested.
+func (r *Registry) checkTokenGrows() {
+	token := r.lease.Token()
+	r.proofToken = max(token, r.termToken+1)
+	if token < r.proofToken {
+		r.metrics.ReportViolation(r.log, metrics.InvariantTokenGrows, "token", token, "earlier", r.termToken)
+		r.lease.RenewToken()
+	}
+	r.termToken = max(r.termToken, token)
+}
+
 // EndTerm discards the state that is only valid within a term.
 func (r *Registry) EndTerm() {
 	r.forgetTasks()
@@ -248,6 +268,9 @@
 			r.endPlacement(worker, task, EvidenceNeverLaunched, taskstate.LossBeforeWaiting)
 		}
 	}
+	if now > r.leaseExpiresAt(worker) {
+		r.dropStraysOf(worker)
+	}
 	if len(worker.Tasks) > 0 && !worker.LeaseExpired && now > r.leaseExpiresAt(worker) {
 		r.log.Info("worker lease expired", "worker", worker.ID, "count", len(worker.Tasks))
 		worker.LeaseExpired = true
--- a/internal/workers/release.go
+++ b/internal/workers/release.go
@@ -26,6 +26,7 @@
 		return
 	}
 	r.endAllPlacements(worker, EvidenceMachineReleased)
+	r.dropStraysOf(worker)
 	delete(r.workers, id)
 	r.sortedWorkers = slices.DeleteFunc(r.sortedWorkers, func(other *Worker) bool { return other == worker })
 	delete(r.commandsDue, worker)
