Leader: a dispatch in doubt is not made again in other records before it is void

Two open records name the same tasks.

If its first attempt gets no answer and the repetition is refused for good (400, as when the service's limits were lowered in between), the leader dropped the records and dispatched their tasks again in new ones, although the first attempt may still be carried out: its condition on the leader's token still holds.

Change: the leader then puts its lease key again. Under the new token the first attempt fails, and the records are read anew before anything is dispatched.

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -6,6 +6,7 @@
 	"lemonmoor/internal/eventloop"
 	"lemonmoor/internal/statestore"
 	"lemonmoor/internal/term"
+	"lemonmoor/internal/tuning"
 )
 
 // commitObserver is notified of the answers to commits.
@@ -65,6 +66,15 @@
 	}))
 }
 
+// renewToken requests a new fencing token, again and again until it is granted, which ends the term:
+// a commit that was not answered, and whose repetition is refused for good, fails under it. Until then
+// nothing is sent.
+func (c *committer) renewToken() {
+	c.busy = true
+	c.leases.RenewLeaderToken()
+	c.runtime.After(tuning.MaxStateBackoff, c.terms.Guard(c.renewToken))
+}
+
 // verify verifies that a copy of the stored state is current and calls done with the error,
 // nil if it is. Until then nothing is sent.
 func (c *committer) verify(copied statestore.Verifier, done func(error)) {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -98,6 +99,41 @@
 	}
 }
 
+// TestDispatchInDoubtIsNotMadeAgainInOtherRecords guards against a task in two open records: a
+// dispatch whose first attempt was not answered, and whose repetition is refused as too large, may
+// still be carried out late.
+func TestDispatchInDoubtIsNotMadeAgainInOtherRecords(t *testing.T) {
+	service := statetest.New()
+	node := startNode(service)
+	node.run(2 * time.Second)
+	service.Hold = isDispatch
+	submit(t, service, newSpec("wk-1", 3), newSpec("wk-2", 3))
+	node.run(2 * time.Second)
+	service.Held[0].Answer(http1.Response{}, eventloop.ErrNoAnswer)
+	node.run(2 * time.Second)
+	service.Held[1].Answer(statetest.Reply(400, map[string]any{"error": "too large"}), nil)
+	node.run(10 * time.Second)
+	service.Commit(service.Held[0]) // late
+	for _, later := range service.Held[2:] {
+		later.Answer(service.Commit(later), nil)
+	}
+	node.run(2 * time.Second)
+	inRecords := map[string]int{}
+	node.store.EachRecord(func(record *taskstate.Record) {
+		for _, index := range record.TaskIndexes {
+			inRecords[fmt.Sprintf("%s/%d", record.Job, index)]++
+		}
+	})
+	for task, count := range inRecords {
+		if count != 1 {
+			t.Errorf("%s is in %d records, want 1", task, count)
+		}
+	}
+	if len(inRecords) == 0 {
+		t.Error("no task was dispatched after the refusal")
+	}
+}
+
 // TestNothingIsSentAfterTheTokenWasRejected guards against dispatches by a node that has lost
 // the leadership: when a commit has failed on the condition on the leader's lease, nothing more
 // may be sent before the leases have been read again.
--- a/internal/leader/record_commit.go
+++ b/internal/leader/record_commit.go
@@ -97,7 +97,13 @@
 	case statestore.OutcomeUnknown:
 		c.inDoubt = true
 		c.retry()
-	case statestore.OutcomeConflict, statestore.OutcomeGone, statestore.OutcomeInvalid:
+	case statestore.OutcomeGone, statestore.OutcomeInvalid:
+		if c.inDoubt {
+			c.leader.commits.renewToken()
+			return
+		}
+		c.dropUnlessStored()
+	case statestore.OutcomeConflict:
 		c.dropUnlessStored()
 	}
 }
--- a/internal/statestore/election.go
+++ b/internal/statestore/election.go
@@ -37,6 +37,16 @@
 	})
 }
 
+// renewToken replaces the fencing token of the leadership, if this process leads, by putting its key
+// again.
+func (e *election) renewToken() {
+	slot := commitSlot{purposeLead, noShard}
+	if e.token == 0 || e.commits.isBusy(slot) {
+		return
+	}
+	e.commits.send(slot, []Condition{{LeaderKey, e.token}}, []Operation{e.node.attach(LeaderKey)})
+}
+
 // isVacant reports whether no leader is recorded, or only an earlier process of this node.
 func (e *election) isVacant() bool {
 	leader, hasLeader := e.table.holders[LeaderKey]
--- a/internal/statestore/leases.go
+++ b/internal/statestore/leases.go
@@ -180,6 +180,10 @@
 // old one fail.
 func (m *LeaseManager) RenewToken(shard int) { m.shards.renewToken(shard) }
 
+// RenewLeaderToken requests a new fencing token for the leadership, if this process leads. Late
+// commits under the old one fail.
+func (m *LeaseManager) RenewLeaderToken() { m.election.renewToken() }
+
 // CommitUnderToken commits a change on condition of the token of a shard that this process owns,
 // and calls fn with the commit's revision. The tokens of later owners are higher. fn is not called
 // if the commit fails, is not answered, or if the token has been replaced since.
