Shard: a further record at a former owner raises no alarm

That owner's lease is not valid, so it launches nothing. The assertion now asks for a valid lease, like the one on removed records; the further copy is not placed in either case.

TestRecordOfATaskThatALaterOwnerReturnedRaisesNoAlarm failed before.

--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -41,6 +41,9 @@
 			continue
 		}
 		twice = append(twice, task)
+		if !s.deps.Leases.LeaseValid() {
+			continue // a later owner may have returned the task
+		}
 		s.deps.Metrics.ReportViolation(s.deps.Log, metrics.InvariantOneOpenRecord, "shard", s.shardIndex, "task", task.Name(),
 			"record", task.Group.Key, "further_record", record.Key, "attempt", task.Attempt, "worker", task.WorkerID,
 			"history", task.History.Text(s.deps.Runtime.Now()))
--- a/internal/shard/records_test.go
+++ b/internal/shard/records_test.go
@@ -9,6 +9,7 @@
 	"lemonmoor/internal/statestore"
 	"lemonmoor/internal/statetest"
 	"lemonmoor/internal/taskstate"
+	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/userapi"
 )
 
@@ -93,6 +94,20 @@
 	}
 }
 
+// TestRecordOfATaskThatALaterOwnerReturnedRaisesNoAlarm guards against an alarm at a former owner,
+// whose copy of the records shows a further record before its copy of the leases shows the next owner.
+func TestRecordOfATaskThatALaterOwnerReturnedRaisesNoAlarm(t *testing.T) {
+	service, node := newShardOwner(t, 1)
+	node.place("vm-1")
+	service.Run(time.Second)
+	service.AdvanceClock(tuning.LeaseTTL) // without a renewal
+	record := taskstate.NewRecord(0, jobID, 1, []int{0}, nil, nil)
+	node.tasks.RecordAdded(record)
+	if violations := node.tasks.deps.Metrics.Violations(metrics.InvariantOneOpenRecord); violations != 0 {
+		t.Errorf("%d violations of %s, want 0", violations, metrics.InvariantOneOpenRecord)
+	}
+}
+
 // TestTaskInTwoOpenRecordsIsPlacedOnce guards against two working copies of a task, which would
 // number their attempts apart and run at the same time.
 func TestTaskInTwoOpenRecordsIsPlacedOnce(t *testing.T) {
