--- a/internal/controller/fault_injection_test.go
+++ b/internal/controller/fault_injection_test.go
@@ -43,6 +43,7 @@
 	commandsCopied            faultName = "copies of executed commands arrive later"
 	machinesFailTasks         faultName = "machines fail their tasks"
 	cancelledUnheard          faultName = "jobs are cancelled while owner and leader do not hear of it"
+	linksHeld                 faultName = "links to machines hold messages back"
 )
 
 // fault is a fault that can be injected into a simulation.
@@ -184,6 +185,14 @@
 		sim.cancelRunningJobs(1 + drawn.variant)
 		sim.cancelWaitingJobs(12)
 	}},
+	{linksHeld, func(sim *simulation, drawn injection) {
+		// Several holds, since a short one between two reports is what delivers both together.
+		for i := range 4 {
+			sim.schedule(time.Duration(i)*drawn.duration/4, func() {
+				sim.forBusyWorkers(3*sim.faultScale, drawn.variant+i, func(worker *simWorker) { worker.holdLink(drawn.variant+i, drawn.duration/5) })
+			})
+		}
+	}},
 }
 
 // inject injects a fault now.
--- a/internal/controller/sim_heartbeat_test.go
+++ b/internal/controller/sim_heartbeat_test.go
@@ -68,7 +68,7 @@
 	body := w.heartbeatBody()
 	controller := w.sim.controllers[w.controllerIndex]
 	w.copyHeartbeat(body)
-	controller.request(workerHost(w), "POST", "/agent/beat", body, 4*time.Second, func(response http1.Response, err error) {
+	w.sendReport(controller, body, func(response http1.Response, err error) {
 		if w.dead || number != w.heartbeatNumber {
 			return
 		}
--- a/internal/controller/sim_worker_test.go
+++ b/internal/controller/sim_worker_test.go
@@ -50,6 +50,7 @@
 	partitionedUntil     time.Duration // until then its zone is partitioned from the controllers
 	onlyController       int           // index+1 of the only controller with which it can communicate; 0: any
 	commandsDelayedUntil time.Duration // direct commands sent before then are executed then
+	link                 heldLink
 }
 
 // taskPhase is the state of a task as its worker reports it.
@@ -146,6 +147,15 @@
 // them. Delayed commands are not answered, except those of a machine that hangs, which it
 // answers when it resumes.
 func (w *simWorker) receiveCommands(from *simController, request http1.ClientRequest, sentAt time.Duration, reply func(http1.Response)) {
+	w.whenDelivered(w.faults.link.toWorkerUntil, func() {
+		w.receiveDelivered(from, request, sentAt, func(response http1.Response) {
+			w.whenDelivered(w.faults.link.fromWorkerUntil, func() { reply(response) })
+		})
+	})
+}
+
+// receiveDelivered is receiveCommands for commands that the machine's link has delivered.
+func (w *simWorker) receiveDelivered(from *simController, request http1.ClientRequest, sentAt time.Duration, reply func(http1.Response)) {
 	handleUnanswered := func() {
 		if !w.dead {
 			w.handleCommands(request, sentAt)
--- a/internal/controller/soak_plan_test.go
+++ b/internal/controller/soak_plan_test.go
@@ -157,6 +157,11 @@
 		}
 		plan.faults = append(plan.faults, soakFault{at, name, injection{rng.IntN(8), 8 * time.Second}})
 	}
+	// Links hold messages back while tasks are launched.
+	for i := range 4 {
+		at := alone + length*time.Duration(i)/4
+		plan.faults = append(plan.faults, soakFault{at, linksHeld, injection{rng.IntN(8), time.Duration(2+rng.IntN(18)) * second}})
+	}
 	// Leaders change in series, while teams are at their limits.
 	for i := range 3 {
 		plan.faults = append(plan.faults, soakFault{alone + length/3 + time.Duration(i)*3500*millisecond, leaderRestartsAtOnce, injection{rng.IntN(20), second}})
