--- a/internal/messagefaults/table.go
+++ b/internal/messagefaults/table.go
@@ -80,6 +80,28 @@
 	cloud       = "POST /rentals"
 )
 
+// directMessageFaults is what can happen to a direct message to a worker, whatever it carries.
+var directMessageFaults = map[Fault]Entry{
+	Lost:            {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
+	AnswerLost:      {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
+	Late:            {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
+	HeldInOrder:     {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
+	HeldBesideNewer: {delayed, []Player{WorkerSearch, DeploymentSearch}, ""},
+	Again:           {delayed, []Player{WorkerSearch, Simulation, Soak}, ""},
+	SenderReplaced:  {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
+}
+
+// commitFaults is what can happen to a transaction at the state service.
+var commitFaults = map[Fault]Entry{
+	Lost:            {stateErrors, []Player{DeploymentSearch, Simulation, Soak}, ""},
+	AnswerLost:      {stateErrors, []Player{DeploymentSearch, Simulation, Soak}, ""},
+	Late:            {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
+	HeldInOrder:     {delayed, []Player{DeploymentSearch}, ""},
+	HeldBesideNewer: {delayed, []Player{DeploymentSearch}, ""},
+	Again:           {delayed, []Player{Simulation}, ""},
+	SenderReplaced:  {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
+}
+
 // Table holds the entry of every kind of message and every fault.
 var Table = map[Kind]map[Fault]Entry{
 	Report: {
@@ -118,15 +140,7 @@
 		Again:           {},
 		SenderReplaced:  {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
 	},
-	DirectCommand: {
-		Lost:            {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		AnswerLost:      {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
-		Late:            {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
-		HeldInOrder:     {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
-		HeldBesideNewer: {delayed, []Player{WorkerSearch, DeploymentSearch}, ""},
-		Again:           {delayed, []Player{WorkerSearch, Simulation, Soak}, ""},
-		SenderReplaced:  {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-	},
+	DirectCommand: directMessageFaults,
 	DirectCommandAnswer: {
 		Lost:            {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
 		AnswerLost:      {},
@@ -136,51 +150,11 @@
 		Again:           {},
 		SenderReplaced:  {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
 	},
-	Announcement: {
-		Lost:            {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		AnswerLost:      {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
-		Late:            {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
-		HeldInOrder:     {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
-		HeldBesideNewer: {delayed, []Player{WorkerSearch, DeploymentSearch}, ""},
-		Again:           {delayed, []Player{WorkerSearch, Simulation, Soak}, ""},
-		SenderReplaced:  {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-	},
-	Probe: {
-		Lost:            {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		AnswerLost:      {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
-		Late:            {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
-		HeldInOrder:     {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
-		HeldBesideNewer: {delayed, []Player{WorkerSearch, DeploymentSearch}, ""},
-		Again:           {delayed, []Player{WorkerSearch, Simulation, Soak}, ""},
-		SenderReplaced:  {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-	},
-	Dispatch: {
-		Lost:            {stateErrors, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		AnswerLost:      {stateErrors, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		Late:            {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		HeldInOrder:     {delayed, []Player{DeploymentSearch}, ""},
-		HeldBesideNewer: {delayed, []Player{DeploymentSearch}, ""},
-		Again:           {delayed, []Player{Simulation}, ""},
-		SenderReplaced:  {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-	},
-	PlacementCommit: {
-		Lost:            {stateErrors, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		AnswerLost:      {stateErrors, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		Late:            {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		HeldInOrder:     {delayed, []Player{DeploymentSearch}, ""},
-		HeldBesideNewer: {delayed, []Player{DeploymentSearch}, ""},
-		Again:           {delayed, []Player{Simulation}, ""},
-		SenderReplaced:  {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-	},
-	LeaseCommit: {
-		Lost:            {stateErrors, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		AnswerLost:      {stateErrors, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		Late:            {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-		HeldInOrder:     {delayed, []Player{DeploymentSearch}, ""},
-		HeldBesideNewer: {delayed, []Player{DeploymentSearch}, ""},
-		Again:           {delayed, []Player{Simulation}, ""},
-		SenderReplaced:  {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
-	},
+	Announcement:    directMessageFaults,
+	Probe:           directMessageFaults,
+	Dispatch:        commitFaults,
+	PlacementCommit: commitFaults,
+	LeaseCommit:     commitFaults,
 	Watch: {
 		Lost:            {watches, []Player{DeploymentSearch, Simulation, Soak}, ""},
 		AnswerLost:      {watches, []Player{DeploymentSearch, Simulation, Soak}, ""},
