Workers: a record removed under a former owner leaves no stray attempt

A former owner goes by what a later one has recorded, as the log line on removed records does; otherwise a launch could wait, and raise an alarm, for an attempt that a later owner has closed. TestRecordRemovedUnderAFormerOwnerLeavesNoStray failed before.

--- a/internal/workers/placements.go
+++ b/internal/workers/placements.go
@@ -78,7 +78,8 @@
 }
 
 // DiscardTask removes a task from its machine after its record has been deleted. If it was launched,
-// it may still be there, and no other attempt of it is launched before that is disproved.
+// it may still be there, and no other attempt of it is launched before that is disproved. A former
+// owner, whose lease is not certain, goes by what a later one has recorded.
 func (r *Registry) DiscardTask(task *taskstate.Task) {
 	worker := r.workers[task.WorkerID]
 	if worker == nil {
@@ -87,8 +88,6 @@
 	if task.Launch.IsSent() && r.lease.LeaseValid() {
 		r.metrics.ReportViolation(r.log, metrics.InvariantRecordOutlivesTask, "worker", worker.ID, "task", task.Name(),
 			"attempt", task.WireAttempt(), "history", task.History.Text(r.runtime.Now()))
-	}
-	if task.Launch.IsSent() {
 		r.addStray(worker, taskAttempt{task.Name(), task.WireAttempt()}, task.Launch)
 	}
 	r.takeOff(worker, task, EvidenceRecordRemoved)
--- a/internal/workers/stray_attempts_test.go
+++ b/internal/workers/stray_attempts_test.go
@@ -71,6 +71,19 @@
 	}
 }
 
+// TestRecordRemovedUnderAFormerOwnerLeavesNoStray guards against a launch that waits, and an alarm, for
+// an attempt that a later owner has closed.
+func TestRecordRemovedUnderAFormerOwnerLeavesNoStray(t *testing.T) {
+	fixture := newRegistryFixture(1)
+	fixture.placeAndLaunchAll(t)
+	fixture.leaseInvalid = true
+	fixture.registry.DiscardTask(fixture.job.Tasks[0])
+	fixture.expectViolations(t, metrics.InvariantRecordOutlivesTask, 0)
+	if len(fixture.registry.strays) != 0 {
+		t.Errorf("%d stray attempts, want 0", len(fixture.registry.strays))
+	}
+}
+
 // TestTermWithoutAHigherTokenProvesNothing guards against taking launches of the last term for void
 // in a term that begins under the same token.
 func TestTermWithoutAHigherTokenProvesNothing(t *testing.T) {
