--- a/internal/messagefaults/table.go
+++ b/internal/messagefaults/table.go
@@ -82,7 +82,7 @@
 
 // directMessageFaults is what can happen to a direct message to a worker, whatever it carries.
 var directMessageFaults = map[Fault]Entry{
-	Lost:            {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
+	Lost:            {delayed, []Player{Simulation, Soak}, ""},
 	AnswerLost:      {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
 	Late:            {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
 	HeldInOrder:     {delayed, []Player{WorkerSearch, DeploymentSearch, Simulation, Soak}, ""},
@@ -93,7 +93,7 @@
 
 // commitFaults is what can happen to a transaction at the state service.
 var commitFaults = map[Fault]Entry{
-	Lost:            {stateErrors, []Player{DeploymentSearch, Simulation, Soak}, ""},
+	Lost:            {stateErrors, []Player{Simulation, Soak}, ""},
 	AnswerLost:      {stateErrors, []Player{DeploymentSearch, Simulation, Soak}, ""},
 	Late:            {delayed, []Player{DeploymentSearch, Simulation, Soak}, ""},
 	HeldInOrder:     {delayed, []Player{DeploymentSearch}, ""},
@@ -156,7 +156,7 @@
 	PlacementCommit: commitFaults,
 	LeaseCommit:     commitFaults,
 	Watch: {
-		Lost:            {watches, []Player{DeploymentSearch, Simulation, Soak}, ""},
+		Lost:            {watches, []Player{Simulation, Soak}, ""},
 		AnswerLost:      {watches, []Player{DeploymentSearch, Simulation, Soak}, ""},
 		Late:            {},
 		HeldInOrder:     {watches, []Player{DeploymentSearch}, ""},
--- a/internal/metrics/violation.go
+++ b/internal/metrics/violation.go
@@ -37,7 +37,7 @@
 }
 
 // ReportViolation counts a violation of an invariant and logs it as an error, with the given
-// attributes.
+// attributes. The process goes on; its caller takes the safe side.
 func (m *Metrics) ReportViolation(log *slog.Logger, invariant Invariant, attributes ...any) {
 	m.violations.WithLabelValues(string(invariant)).Inc()
 	m.firstViolations.add(invariant, violationText(time.Now(), attributes))
@@ -54,8 +54,8 @@
 }
 
 // LogViolations logs one line with the invariants violated since the start of the process: how often
-// each was, and its first violation in full. It logs nothing if there was none. Whichever part of a
-// log is kept, the line then tells of a violation.
+// each was, and its first violation in full. It logs nothing if there was none. Whichever later part
+// of the process's log is kept, the line then tells of a violation. It does not outlive the process.
 func (m *Metrics) LogViolations(log *slog.Logger) {
 	var counts, firsts []string
 	for _, invariant := range Invariants {
