Logs and metrics: which task waits beside a machine with room, and why

Now the owner of a shard looks every 5 s for tasks that have waited for half a minute although a machine that their job allows accepts tasks and has room, and logs one of a job a minute at most, with the reason (`task waits beside a machine with room`, `lemonmoor_passed_over_total`). Nothing is placed otherwise than before.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -137,6 +137,7 @@
 		}
 		owner.workers.Tick()
 		owner.tasks.CheckLog()
+		owner.logPassedOver()
 		owner.rounds.needed = true
 		unreachable, reporting := owner.workers.CountUnreachable()
 		total.reporting += reporting
--- a/internal/controller/shard_owner.go
+++ b/internal/controller/shard_owner.go
@@ -26,7 +26,9 @@
 	planner       *placement.Planner
 	drainExecutor *drain.Executor // nil if drains are disabled
 	rounds        roundSchedule
-	statuses      statusSender
+	// passedOverCheckedAt is when logPassedOver last looked for tasks that wait beside room.
+	passedOverCheckedAt time.Duration
+	statuses            statusSender
 }
 
 // roundSchedule paces the placement rounds.
@@ -191,6 +193,22 @@
 	s.planner.RunRound(s.workers.Workers(), now, s.node.runtime.WallClock())
 }
 
+// logPassedOver logs which tasks wait although a machine has room for them, and why, every
+// tuning.PassedOverCheckInterval.
+func (s *shardOwner) logPassedOver() {
+	now := s.node.runtime.Now()
+	if !s.tasks.IsLoaded() || now-s.passedOverCheckedAt < tuning.PassedOverCheckInterval {
+		return
+	}
+	s.passedOverCheckedAt = now
+	for _, passed := range s.planner.PassedOver(s.workers.Workers(), now) {
+		reason := passed.Reason.String()
+		s.node.metrics.AddPassedOver(reason)
+		s.node.log.Info("task waits beside a machine with room", "shard", s.shardIndex, "task", passed.Task.Name(), "worker", passed.WorkerID,
+			"reason", reason, "waited_s", passed.Waited.Seconds(), "attempt", passed.Task.Attempt)
+	}
+}
+
 // roundInterval returns the minimum time between two placement rounds. It grows with the number
 // of machines, since a round over more machines takes longer.
 func (s *shardOwner) roundInterval() time.Duration {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -85,6 +85,7 @@
 	forgets         prometheus.Counter
 	toForget        *prometheus.GaugeVec
 	tokenRequests   *prometheus.CounterVec
+	passedOver      *prometheus.CounterVec
 	violations      *prometheus.CounterVec
 	firstViolations firstViolations
 }
@@ -127,13 +128,16 @@
 		tokenRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "newer_token_requests_total", Help: "Writes that only serve to get a higher token for messages to workers, by shard.",
 		}, []string{"shard"}),
+		passedOver: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "passed_over_total", Help: "Log lines on tasks that wait beside a machine with room, by reason.",
+		}, []string{"reason"}),
 		violations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "invariant_violations_total", Help: "Violations of invariants found at run time.",
 		}, []string{"invariant"}),
 	}
 	created.registry.MustRegister(
 		created.leaderToken, created.shardTokens, created.launches, created.launchOutcomes, created.placementsEnded, created.tokensAcquired, created.dispatchedTasks,
-		created.knowledgeAge, created.forgets, created.toForget, created.tokenRequests, created.violations,
+		created.knowledgeAge, created.forgets, created.toForget, created.tokenRequests, created.passedOver, created.violations,
 	)
 	for _, invariant := range Invariants {
 		created.violations.WithLabelValues(string(invariant)) // reported as 0 before the first violation
@@ -187,6 +191,10 @@
 	m.tokenRequests.WithLabelValues(strconv.Itoa(shard)).Inc()
 }
 
+// AddPassedOver counts a task that waits beside a machine with room, by the reason for which it is not
+// placed there.
+func (m *Metrics) AddPassedOver(reason string) { m.passedOver.WithLabelValues(reason).Inc() }
+
 // Encode returns all metrics in the text format of Prometheus.
 func (m *Metrics) Encode() ([]byte, error) {
 	families, err := m.registry.Gather()
--- a/internal/placement/arrivals.go
+++ b/internal/placement/arrivals.go
@@ -52,7 +52,7 @@
 	// image as soon as one is placed there.
 	var byDistance [farthestImage + 1][]*workers.Worker
 	for _, worker := range round.machinesFor(tasks[0]) {
-		if round.acceptsPriority(spec.Priority(), worker) {
+		if worker.Hold.Accepts(spec.Priority()) {
 			distance := imageDistance(worker, spec.Image)
 			byDistance[distance] = append(byDistance[distance], worker)
 		}
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -63,7 +63,7 @@
 
 // placeGangs places those gangs of a priority for which there is room.
 func (p *Planner) placeGangs(round *placementRound, priority jobs.Priority) {
-	isUsable := func(worker *workers.Worker) bool { return round.acceptsPriority(priority, worker) }
+	isUsable := func(worker *workers.Worker) bool { return worker.Hold.Accepts(priority) }
 	for i := range round.gangs {
 		gang := &round.gangs[i]
 		if gang.tasks != nil && gang.job.Spec.Priority() == priority {
--- a/internal/placement/overdue.go
+++ b/internal/placement/overdue.go
@@ -19,7 +19,6 @@
 // starved. Without holds, small tasks would use every processor that becomes free and the work
 // would never start.
 func (p *Planner) placeOverdue(round *placementRound) {
-	round.heldMinPriority = map[*workers.Worker]jobs.Priority{}
 	var lastHolder *taskstate.Job // its tasks are skipped: one held machine per job is enough
 	p.placeOverdueGangs(round, aboveAllPriorities, func(gang *pendingGang) bool { return round.isStarved(gang.job) })
 	for _, task := range round.samples {
@@ -44,7 +43,7 @@
 // least minPriority is placed there.
 func (p *Planner) startOrHold(round *placementRound, task *taskstate.Task, minPriority jobs.Priority) bool {
 	for _, worker := range round.machinesFor(task) {
-		if round.isUnheld(worker) && (fits(task, worker) || (round.isStarved(task.Job) && fitsWithReserved(task, worker))) {
+		if isUnheld(worker) && (fits(task, worker) || (round.isStarved(task.Job) && fitsWithReserved(task, worker))) {
 			p.startQueued(task, worker)
 			return true
 		}
@@ -52,7 +51,7 @@
 	var best *workers.Worker
 	mostFree := -1.0 // processors
 	for _, worker := range round.accepting {
-		if round.isHeld(worker) || !couldFit(task, worker) {
+		if worker.Hold.IsSet() || !couldFit(task, worker) {
 			continue
 		}
 		if free := worker.Free().CPUs; free > mostFree {
@@ -60,11 +59,17 @@
 		}
 	}
 	if best != nil {
-		round.heldMinPriority[best] = minPriority
+		hold(best, task.Job, minPriority)
 	}
 	return false
 }
 
+// hold holds a machine for a job until the next round: only other work of at least minPriority is
+// placed there.
+func hold(worker *workers.Worker, job *taskstate.Job, minPriority jobs.Priority) {
+	worker.Hold = workers.Hold{JobID: job.Spec.ID, MinPriority: minPriority}
+}
+
 // placeOverdueGangs places the overdue gangs. If there is no room for a gang, it holds
 // machines that could run the whole gang if they were empty, until it fits. They accept only
 // work of a priority above the gang's and of at least leastMinPriority. If not enough machines
@@ -72,7 +77,7 @@
 func (p *Planner) placeOverdueGangs(round *placementRound, leastMinPriority jobs.Priority, isOverdue func(*pendingGang) bool) {
 	for i := range round.gangs {
 		gang := &round.gangs[i]
-		if gang.tasks == nil || !isOverdue(gang) || p.placeGang(round, gang, round.isUnheld) {
+		if gang.tasks == nil || !isOverdue(gang) || p.placeGang(round, gang, isUnheld) {
 			continue
 		}
 		minPriority := max(leastMinPriority, gang.job.Spec.Priority()+1)
@@ -81,8 +86,8 @@
 		slices.SortStableFunc(machines, func(a, b *workers.Worker) int {
 			return cmp.Compare(countThatFit(gang.tasks[0], b), countThatFit(gang.tasks[0], a))
 		})
-		for _, worker := range machinesToHold(machines, gang.tasks, round.isUnheld) {
-			round.heldMinPriority[worker] = minPriority
+		for _, worker := range machinesToHold(machines, gang.tasks, isUnheld) {
+			hold(worker, gang.job, minPriority)
 		}
 	}
 }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -41,6 +41,8 @@
 	waitingGangs []*taskstate.Job
 	forecast     gangforecast.Forecast
 	gangSamples  map[string]gangSample // by class; see reservations.go
+	// passedOverAt is when PassedOver last returned a task of a job.
+	passedOverAt map[*taskstate.Job]time.Duration
 }
 
 // New returns a planner with empty queues. Tasks that have waited in the extra queue for
@@ -49,7 +51,7 @@
 	return &Planner{
 		machines: machines, policy: policy, waitBound: waitBound,
 		imageQueues: map[string]taskQueue{},
-		gangSamples: map[string]gangSample{},
+		gangSamples: map[string]gangSample{}, passedOverAt: map[*taskstate.Job]time.Duration{},
 	}
 }
 
@@ -58,6 +60,7 @@
 func (p *Planner) Reset() {
 	p.arrivals, p.extraQueue, p.waitingGangs = nil, nil, nil
 	clear(p.imageQueues)
+	clear(p.passedOverAt)
 }
 
 // AddTask adds a task that waits for a machine. now is the event loop's clock and starts the
@@ -77,6 +80,7 @@
 func (p *Planner) RunRound(machines []*workers.Worker, now time.Duration, wallClock time.Time) {
 	round := &placementRound{now: now, wallMS: wallClock.UnixMilli()}
 	for _, worker := range machines {
+		worker.Hold = workers.Hold{} // holds last for a round
 		if p.machines.AcceptsTasks(worker) {
 			round.addMachine(worker)
 		}
--- a/internal/placement/pull.go
+++ b/internal/placement/pull.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		for _, worker := range round.machinesFor(samples...) {
-			if round.acceptsPriority(priority, worker) {
+			if worker.Hold.Accepts(priority) {
 				p.fillFromQueues(&pullFilter{worker, priority, round.now}, samples)
 			}
 		}
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -20,10 +20,6 @@
 	withRoom  []*workers.Worker // of these, machines with room, in the order for arrays
 	// withRoomForServices is withRoom in the order for replicas of services.
 	withRoomForServices []*workers.Worker
-	// heldMinPriority contains the machines that are held for overdue work until it fits.
-	// Only work of at least the given priority is placed on them.
-	heldMinPriority map[*workers.Worker]jobs.Priority
-
 	// samples contains one task of each job in the queues and every constrained task (see
 	// isUnconstrained). Checking only these shows quickly whether anything fits on a machine.
 	samples []*taskstate.Task
@@ -64,19 +60,8 @@
 	return samples
 }
 
-// isHeld reports whether a machine is held for overdue work.
-func (r *placementRound) isHeld(worker *workers.Worker) bool {
-	_, held := r.heldMinPriority[worker]
-	return held
-}
-
-func (r *placementRound) isUnheld(worker *workers.Worker) bool { return !r.isHeld(worker) }
-
-// acceptsPriority reports whether work of a priority may be placed on a machine: any work if
-// the machine is not held, else only work of at least its minimum priority.
-func (r *placementRound) acceptsPriority(priority jobs.Priority, worker *workers.Worker) bool {
-	return r.heldMinPriority[worker] <= priority
-}
+// isUnheld reports whether a machine is not held for overdue work.
+func isUnheld(worker *workers.Worker) bool { return !worker.Hold.IsSet() }
 
 // isStarved reports whether a job was submitted more than tuning.StarvedAfter ago and none
 // of its tasks has been placed yet. Such a job precedes all others.
--- a/internal/tuning/placement.go
+++ b/internal/tuning/placement.go
@@ -12,6 +12,12 @@
 	// machines' processors. The rest waits with the leader, which can dispatch it to any
 	// shard.
 	MaxQueuedShare = 0.5
+	// PassedOverAfter is how long a task waits beside a machine with room before that is logged.
+	PassedOverAfter = 30 * time.Second
+	// PassedOverInterval is the time after which that is logged again for the same job.
+	PassedOverInterval = 1 * time.Minute
+	// PassedOverCheckInterval is the time between two searches for such tasks.
+	PassedOverCheckInterval = 5 * time.Second
 	// MinRoundInterval is the minimum time between two rounds of placement or dispatch.
 	MinRoundInterval = 25 * time.Millisecond
 	// RoundIntervalPerMachine is added to MinRoundInterval for every machine. A round examines
--- a/internal/workers/placements.go
+++ b/internal/workers/placements.go
@@ -1,31 +1,10 @@
 package workers
 
 import (
-	"time"
-
 	"lemonmoor/internal/metrics"
 	"lemonmoor/internal/taskstate"
-	"lemonmoor/internal/tuning"
 )
 
-// AcceptsTasks reports whether new tasks may be placed on a worker now. A worker that left a
-// command unanswered gets none before its next heartbeat, since a task placed on a partitioned
-// or dead machine has to wait there until the worker's lease has expired.
-func (r *Registry) AcceptsTasks(worker *Worker) bool {
-	now := r.runtime.Now()
-	suspectAfter := time.Duration(float64(r.settings.HeartbeatInterval()) * tuning.SuspectHeartbeats)
-	return worker.HasReported && !worker.LeaseExpired && !worker.Unreachable && !r.isDraining(worker) && worker.MachineType != nil && worker.UnknownTasks == 0 &&
-		worker.Token >= r.lease.Token() && now-worker.LastHeartbeatAt < suspectAfter && now >= worker.RefusesUntil && r.hasRoomInReport(worker) &&
-		worker.delivery.unansweredAt <= worker.LastHeartbeatAt && !r.isZonePartitioned(worker.Zone)
-}
-
-// hasRoomInReport reports whether the attempts that a worker may not forget yet leave room in its
-// reports for more tasks.
-func (r *Registry) hasRoomInReport(worker *Worker) bool {
-	waiting := worker.ended.waiting
-	return waiting == 0 || waiting+len(worker.Tasks) < tuning.MaxListedAttempts
-}
-
 // PlaceTask places a waiting task on a worker and has the placement recorded. The launch is
 // sent once the placement is durable, see PlacementDurable.
 func (r *Registry) PlaceTask(task *taskstate.Task, worker *Worker) {
--- a/internal/workers/worker.go
+++ b/internal/workers/worker.go
@@ -74,9 +74,29 @@
 	Used          resource.Vector // by Tasks
 	ServiceCPUs   float64         // CPUs used by replicas of services
 	Reserved      resource.Vector // for expected gangs
+	Hold          Hold            // for overdue work
 	IdleSince     time.Duration   // when the last of Tasks was removed, or the worker was added
 }
 
+// Hold keeps the room of a machine for overdue work of a job until it suffices. The zero value holds
+// nothing.
+type Hold struct {
+	JobID string
+	// MinPriority is the lowest priority of other work that is placed on the machine.
+	MinPriority jobs.Priority
+}
+
+// IsSet reports whether the machine is held.
+func (h Hold) IsSet() bool { return h.JobID != "" }
+
+// Accepts reports whether work of a priority, other than that of the job, is placed on the machine.
+func (h Hold) Accepts(priority jobs.Priority) bool { return priority >= h.MinPriority }
+
+// AcceptsJob reports whether tasks of a job are placed on the machine.
+func (h Hold) AcceptsJob(jobID string, priority jobs.Priority) bool {
+	return h.Accepts(priority) || h.JobID == jobID
+}
+
 // forgetTasks removes the tasks of an earlier term. ServiceCPUs is not reset: it only
 // influences where placement puts services, and is reset when the machine becomes empty.
 func (l *Load) forgetTasks() {
