Gangs: the next attempt may use the machines of an earlier one

Cause: a task that is replaced within an attempt must not return to a machine that has had it in this attempt, so the machines that it was on are kept (Task.Tried). They were dropped only when the task was placed in the next attempt (Task.beginAttempt), but the planner goes by them when it looks for the machines to place it on. With no other machine the next attempt never began.

They are dropped when the attempt is over and all of its tasks are proven gone: the next attempt has a higher number, which its workers can't take for the earlier one.

TestNextAttemptOfAGangMayUseTheSameWorkers failed before: "wk-1/0 of the next attempt may not be placed on [vm-1]".

--- a/internal/taskstate/gang.go
+++ b/internal/taskstate/gang.go
@@ -165,6 +165,9 @@
 	if !j.anyTaskPlaced() {
 		started := gang.Started
 		pause := gang.nextAttempt(now)
+		for _, member := range j.Tasks {
+			member.Tried = TriedWorkers{} // the next attempt may use the same workers
+		}
 		if !started {
 			j.NotBefore = max(j.NotBefore, now+pause)
 		}
