Fleet: an idle machine stays while a job waits that it is to run

Seen while a job that fails on every machine was played (simulated machines): its machine was returned as idle seconds after a task of it had ended there, and another one rented for the next task, again and again.

Cause: the leader takes a machine for idle by its owner's status, up to a second old, in which a task that has started and ended in between leaves no trace; and it asks only whether tasks need further machines. A task in the queue of a shard, for which there is room, asks for none, so the very machine that has the room counted as not needed.

Now a machine on which the task records place tasks is not idle, and for each waiting job one idle machine that it may use is retained (Demand.Queued, Fleet.machinesAwaited). Tasks that a quota holds back retain none.

TestIdleMachineOfAWaitingJobIsRetained fails without it ("2 of 2 idle machines are drained, want 1", "want 0").

--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -10,7 +10,7 @@
 )
 
 // Demand is a set of tasks of one job that do not fit on the available machines, a reserve for
-// an expected gang, or, with Tasks 0, only tasks that a quota holds back.
+// an expected gang, or, with Tasks 0, only tasks that need no further machines.
 type Demand struct {
 	Spec  *jobs.Spec
 	Zone  string // zone chosen at dispatch, "" for any
@@ -20,6 +20,9 @@
 	// HeldByQuota is the number of tasks of the job that the team's quota holds back: they
 	// cannot use more machines now, but are part of the queue.
 	HeldByQuota int
+	// Queued is the number of tasks of the job in the queues of shards that need no further machines,
+	// since there is room for them.
+	Queued int
 	// WaitedSeconds is the time since the job was submitted, in seconds.
 	WaitedSeconds float64
 	// ObjectiveSlackSeconds holds, for each of the users' objectives that is not missed yet,
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lemonmoor/internal/resource"
 	"lemonmoor/internal/workers"
 )
 
@@ -92,9 +93,11 @@
 	return m.reported && f.shards[m.shard].owner.isFresh(f.runtime.Now())
 }
 
-// isIdle reports whether a machine accepts tasks and has none.
+// isIdle reports whether a machine accepts tasks and has none, neither according to its shard's owner
+// nor according to the task records: the owner's status is up to a second old.
 func (f *Fleet) isIdle(m *machine) bool {
-	return m.drainReason == "" && f.hasFreshStatus(m) && m.status.AcceptsTasks && !m.status.Busy
+	return m.drainReason == "" && f.hasFreshStatus(m) && m.status.AcceptsTasks && !m.status.Busy &&
+		f.loads.MachineLoad(m.id).CPUs < resource.Epsilon
 }
 
 // isOverdue reports whether a machine that lists show running has not reported to its shard
--- a/internal/fleet/releases.go
+++ b/internal/fleet/releases.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"lemonmoor/internal/term"
@@ -19,6 +21,7 @@
 func (f *Fleet) evaluateMachines() {
 	machines, idle := f.countMachines()
 	f.recordPartitions()
+	awaited := f.machinesAwaited()
 	maxIdle := max(tuning.MinIdleMachines, int(tuning.IdleMachineShare*float64(machines)))
 	for _, machine := range f.machines.byID {
 		switch {
@@ -29,7 +32,7 @@
 			if machine.isSilent() && !f.isRetained(machine) {
 				f.requestRelease(machine, machine.status.ReleaseReason)
 			}
-			if f.isDispensable(machine, idle > maxIdle) {
+			if !awaited[machine] && f.isDispensable(machine, idle > maxIdle) {
 				machine.drainReason = drainIdle // its owner stops assigning tasks, then requests the release
 				idle--
 			}
@@ -102,6 +105,51 @@
 	return false
 }
 
+// machinesAwaited returns, for each job that waits, one idle machine that it may use: it will be placed
+// there soon. Otherwise that machine would be released, and another one rented for the job. Further
+// machines for gangs are retained by isAwaitedByGang.
+func (f *Fleet) machinesAwaited() map[*machine]bool {
+	awaited := map[*machine]bool{}
+	if len(f.demand.list) == 0 {
+		return awaited
+	}
+	idle := f.firstIdleByKind()
+	for i := range f.demand.list {
+		demand := &f.demand.list[i]
+		waits := demand.Queued > 0 || demand.Tasks > 0 && !demand.Spec.IsGang()
+		if !waits {
+			continue
+		}
+		for _, m := range idle {
+			if f.emptyMachine(m.kind).CouldRun(demand.Spec, demand.Zone) {
+				awaited[m] = true
+				break
+			}
+		}
+	}
+	return awaited
+}
+
+// firstIdleByKind returns, of the idle machines of each kind, the one with the lowest ID, the kinds in
+// order.
+func (f *Fleet) firstIdleByKind() []*machine {
+	first := map[MachineKind]*machine{}
+	for _, m := range f.machines.byID {
+		if !f.isIdle(m) || f.MachineType(m.kind.MachineType) == nil {
+			continue
+		}
+		if known := first[m.kind]; known == nil || m.id < known.id {
+			first[m.kind] = m
+		}
+	}
+	return slices.SortedFunc(maps.Values(first), func(a, b *machine) int {
+		if a.kind.Before(b.kind) {
+			return -1
+		}
+		return 1
+	})
+}
+
 // evaluateUnreported requests the release of a machine that should have reported by now.
 func (f *Fleet) evaluateUnreported(machine *machine) {
 	now := f.runtime.Now()
--- a/internal/leader/dispatch.go
+++ b/internal/leader/dispatch.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// addQueued reports to the fleet tasks in the queue of a shard that need no further machines.
+func (r *dispatchRound) addQueued(job *jobState, zone string, tasks int) {
+	if tasks > 0 {
+		r.demands = append(r.demands, fleet.Demand{Spec: job.spec, Zone: zone, Queued: tasks})
+	}
+}
+
 // addHeldByQuota reports to the fleet tasks that wait because of the quota of their team.
 func (r *dispatchRound) addHeldByQuota(job *jobState, tasks int) {
 	if tasks > 0 {
@@ -91,6 +98,7 @@
 func (r *dispatchRound) planQueue(job *jobState, queue shardQueue) {
 	set := machineSet{zone: queue.zone, shard: queue.shard}
 	waiting := queue.tasks - r.capacity.occupy(job, set, queue.tasks)
+	r.addQueued(job, queue.zone, queue.tasks-waiting)
 	if waiting == 0 {
 		return
 	}
