--- a/internal/controller/shard_status.go
+++ b/internal/controller/shard_status.go
@@ -1,9 +1,12 @@
 package controller
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 
 	"lemonmoor/internal/fleet"
+	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/workers"
 )
@@ -83,6 +86,7 @@
 		clear(s.statuses.lastSent)
 	}
 	status.Hosts = s.changedMachines()
+	status.Backoffs = s.backoffs()
 	s.statuses.fullNeeded = true // until the answer arrives
 	message := &statusMessage{ShardStatus: status}
 	if s.drainExecutor != nil {
@@ -135,6 +139,31 @@
 	}
 }
 
+// backoffs returns the jobs that are kept off machines now after failures, at most
+// tuning.MaxReportedBackoffs entries.
+func (s *shardOwner) backoffs() []fleet.JobBackoff {
+	now := s.node.runtime.Now()
+	var list []fleet.JobBackoff
+	s.tasks.EachJob(func(job *taskstate.Job) {
+		failures := &job.Failures
+		if failures.IsPaused(now) || failures.MayFailEverywhere() {
+			list = append(list, fleet.JobBackoff{
+				Job: job.Spec.ID, ForMS: max(0, failures.PausedUntil-now).Milliseconds(), MayFailEverywhere: failures.MayFailEverywhere(),
+			})
+		}
+		for _, workerID := range failures.Workers() {
+			if failures.Avoids(workerID, now) {
+				list = append(list, fleet.JobBackoff{Job: job.Spec.ID, MachineID: workerID, ForMS: (failures.AvoidsUntil(workerID) - now).Milliseconds()})
+			}
+		}
+	})
+	// The longest ones count the most.
+	slices.SortFunc(list, func(a, b fleet.JobBackoff) int {
+		return cmp.Or(cmp.Compare(b.ForMS, a.ForMS), cmp.Compare(a.Job, b.Job), cmp.Compare(a.MachineID, b.MachineID))
+	})
+	return list[:min(len(list), tuning.MaxReportedBackoffs)]
+}
+
 // applyStatusReply carries out the instructions in the leader's answer to a status message.
 func (s *shardOwner) applyStatusReply(reply *fleet.StatusReply) {
 	s.statuses.fullNeeded = reply.Full
--- a/internal/controller/sim_job_test.go
+++ b/internal/controller/sim_job_test.go
@@ -25,6 +25,7 @@
 	runTime           time.Duration // of task 0
 	runTimeStep       time.Duration // added for each further task index
 	checkpointSeconds float64       // interval at which a gang saves, 0: never
+	failsEverywhere   bool          // submitted with a mistake: its tasks end with an error on every machine
 }
 
 // simJob is a job, its progress on the machines and its state as its user knows it.
--- a/internal/controller/sim_rule_checker_test.go
+++ b/internal/controller/sim_rule_checker_test.go
@@ -25,6 +25,7 @@
 
 	ruleInvariant        rule = "invariant"         // a controller has found one of its invariants violated
 	ruleNeglected        rule = "neglected"         // a job that could run still waits long after the last fault
+	ruleLeftWaiting      rule = "left_waiting"      // a task waits for too long while a machine has room, after the last fault
 	ruleInvalidAccepted  rule = "invalid_accepted"  // an invalid or impossible submission does not get the refusal of PROTOCOL
 	ruleValidRefused     rule = "valid_refused"     // a valid submission gets 400 or 422
 	ruleBudget           rule = "budget"            // drains disturb more tasks than the budgets allow
@@ -65,6 +66,9 @@
 	// startsCancelled counts the tasks started after their job's cancellation.
 	startsCancelled int
 
+	// roomSince is since when, without a gap, a machine has had room for a waiting task of a job.
+	roomSince map[*simJob]time.Duration
+
 	faultsOverAt   time.Duration // end of the faults, from which no job may be neglected; 0: not known
 	commandsPrompt bool          // no fault delays commands: no task may start more than promptCommands after its job's cancellation
 }
@@ -230,6 +234,7 @@
 func (c *ruleChecker) checkPeriodically() {
 	c.checkStaysCancelled()
 	c.checkNeglected()
+	c.checkLeftWaiting()
 	c.sim.schedule(checkInterval, c.checkPeriodically)
 }
 
@@ -268,6 +273,45 @@
 	}
 }
 
+// checkLeftWaiting reports every job of which a task waits for longer than neglectLimit after the
+// end of the faults, while without a gap a machine that the job allows has had room for it and the
+// team has been within its limit. Jobs whose place depends on their other tasks are left out, and
+// jobs that fail everywhere.
+func (c *ruleChecker) checkLeftWaiting() {
+	for _, job := range c.sim.jobs {
+		if c.faultsOverAt == 0 || job.gang || job.spread || job.sameZone || job.failsEverywhere || !c.waitsBesideRoom(job) {
+			delete(c.roomSince, job)
+			continue
+		}
+		since, known := c.roomSince[job]
+		if !known {
+			c.roomSince[job] = c.sim.now
+		} else if c.sim.now-since > neglectLimit {
+			c.recordViolation(ruleLeftWaiting, "a task of %s has waited for %v though a machine had room for it", job.id, c.sim.now-since)
+			delete(c.roomSince, job)
+		}
+	}
+}
+
+// waitsBesideRoom reports whether a task of a job is on no machine and has not completed, although
+// a machine has room for it and the team is within its limit.
+func (c *ruleChecker) waitsBesideRoom(job *simJob) bool {
+	if !job.accepted || job.cancelRequested || job.reportedPhase != "" {
+		return false
+	}
+	present := 0 // tasks on machines that have not completed
+	fits := false
+	for _, worker := range c.sim.workers {
+		fits = fits || c.couldStart(worker, job)
+		for _, task := range worker.tasks {
+			if task.jobID() == job.id && task.phase != phaseEnded && !worker.dead && !job.completed[task.index()] {
+				present++
+			}
+		}
+	}
+	return fits && len(job.completed)+present < job.tasks && c.sim.usedCPUs(job.team)+job.cpus <= c.sim.teamLimit
+}
+
 // couldStart reports whether a machine without faults has room for a task of a job, and the job
 // allows its zone and price.
 func (c *ruleChecker) couldStart(worker *simWorker, job *simJob) bool {
@@ -278,5 +322,5 @@
 		}
 	}
 	return worker.up && !worker.dead && !worker.faults.inboundBlocked && !worker.faults.failsTasks && used+job.cpus <= worker.cpus &&
-		(job.spot || !worker.spot) && (job.zone == "" || job.zone == worker.zone)
+		job.allows(worker)
 }
--- a/internal/controller/sim_worker_test.go
+++ b/internal/controller/sim_worker_test.go
@@ -33,6 +33,7 @@
 	tasks    []*simTask
 	launched map[taskAttempt]bool // attempts that have been on the machine, or were refused
 	faults   workerFaults
+	failures int // tasks that have ended with an error on it
 }
 
 // taskAttempt names one attempt of a task.
@@ -43,13 +44,14 @@
 
 // workerFaults are the faults of one machine and of its network connection.
 type workerFaults struct {
-	failsTasks           bool          // every task started on it ends with an error
-	unresponsiveUntil    time.Duration // until then the machine hangs: nothing runs on it
-	inboundBlocked       bool          // its heartbeats arrive, but their answers and direct commands do not
-	outboundBlockedUntil time.Duration // until then its heartbeats reach no controller, while direct commands reach it
-	partitionedUntil     time.Duration // until then its zone is partitioned from the controllers
-	onlyController       int           // index+1 of the only controller with which it can communicate; 0: any
-	commandsDelayedUntil time.Duration // direct commands sent before then are executed then
+	failsTasks           bool           // every task started on it ends with an error
+	failingStarts        map[string]int // how many more tasks of a job that start on it end with an error, by job
+	unresponsiveUntil    time.Duration  // until then the machine hangs: nothing runs on it
+	inboundBlocked       bool           // its heartbeats arrive, but their answers and direct commands do not
+	outboundBlockedUntil time.Duration  // until then its heartbeats reach no controller, while direct commands reach it
+	partitionedUntil     time.Duration  // until then its zone is partitioned from the controllers
+	onlyController       int            // index+1 of the only controller with which it can communicate; 0: any
+	commandsDelayedUntil time.Duration  // direct commands sent before then are executed then
 	link                 heldLink
 }
 
@@ -282,7 +284,12 @@
 		return "unknown"
 	case used+job.cpus > w.cpus:
 		return "full"
-	case w.faults.failsTasks:
+	case w.faults.failsTasks || job.failsEverywhere:
+		w.failures++
+		return "error"
+	case w.faults.failingStarts[job.id] > 0:
+		w.faults.failingStarts[job.id]--
+		w.failures++
 		return "error"
 	}
 	return ""
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -154,7 +154,7 @@
 		teamLimit:   teamLimitCPUs,
 	}
 	sim.log = sim.newLog()
-	sim.checker = &ruleChecker{sim: sim}
+	sim.checker = &ruleChecker{sim: sim, roomSince: map[*simJob]time.Duration{}}
 	sim.state = newSimStateService(sim)
 	sim.cloud = &simCloud{sim: sim, rentals: map[string][]string{}, available: 12}
 	for i := range 3 {
--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -17,6 +17,12 @@
 	ReadyIn     time.Duration // expected remaining boot time
 }
 
+// Accepts reports whether the machine's owner places tasks of a job on it now, as far as the job's
+// backoff is concerned.
+func (m *AvailableMachine) Accepts(backoff *Backoff, now time.Duration) bool {
+	return !backoff.IsPaused(now) && !backoff.Avoids(m.ID, now)
+}
+
 // CouldRun reports whether the machine, if it were empty, could run a task of the job in the
 // given zone; "" stands for any zone.
 func (m *AvailableMachine) CouldRun(spec *jobs.Spec, zone string) bool {
@@ -27,14 +33,14 @@
 // argument of fn is valid only during the call.
 func (f *Fleet) EachAvailable(fn func(*AvailableMachine)) {
 	var available AvailableMachine
-	for _, m := range f.machines.byID {
-		machineType := f.MachineType(m.kind.MachineType)
-		if machineType == nil || !f.isAvailable(m) {
+	for _, machine := range f.machines.byID {
+		machineType := f.MachineType(machine.kind.MachineType)
+		if machineType == nil || !f.isAvailable(machine) {
 			continue
 		}
-		available = AvailableMachine{MachineKind: m.kind, ID: m.id, Shard: m.shard, MachineType: machineType, Booting: !m.reported}
+		available = AvailableMachine{MachineKind: machine.kind, ID: machine.id, Shard: machine.shard, MachineType: machineType, Booting: !machine.reported}
 		if available.Booting {
-			available.ReadyIn = max(0, m.rentedAt+bootTime(machineType)-f.runtime.Now())
+			available.ReadyIn = max(0, machine.rentedAt+bootTime(machineType)-f.runtime.Now())
 		}
 		fn(&available)
 	}
@@ -117,6 +123,18 @@
 	}
 }
 
+// without returns the capacity without a machine that is up and its load.
+func (c *kindCapacity) without(cpus float64, load MachineLoad) *kindCapacity {
+	remaining := *c
+	remaining.cpus -= cpus
+	remaining.used.CPUs -= load.CPUs
+	remaining.used.ServiceCPUs -= load.ServiceCPUs
+	for priority, used := range load.CPUsByPriority {
+		remaining.used.CPUsByPriority[priority] -= used
+	}
+	return &remaining
+}
+
 // workWithin returns the work that the machines can do for a demand within a number of seconds,
 // in processor seconds; it may be negative. Running tasks of its priority and above are assumed
 // to occupy their processors for half of the demand's estimated run time on average. Machines
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -20,8 +20,8 @@
 	// HeldByQuota is the number of tasks of the job that the team's quota holds back: they
 	// cannot use more machines now, but are part of the queue.
 	HeldByQuota int
-	// Queued is the number of tasks of the job in the queues of shards that need no further machines,
-	// since there is room for them.
+	// Queued is the number of tasks of the job in the queues of shards that need no further machines:
+	// there is room for them, or they wait for the end of a pause after failures.
 	Queued int
 	// WaitedSeconds is the time since the job was submitted, in seconds.
 	WaitedSeconds float64
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,7 +89,7 @@
 	f.term.actingSince, f.term.listed = f.term.beganAt, false
 	f.machines.reset()
 	for i := range f.shards {
-		f.shards[i].owner = ownerStatus{}
+		f.shards[i].owner, f.shards[i].backoffs = ownerStatus{}, nil
 	}
 	f.zones.reset()
 	f.demand = demandState{}
--- a/internal/fleet/releases.go
+++ b/internal/fleet/releases.go
@@ -106,8 +106,8 @@
 }
 
 // machinesAwaited returns, for each job that waits, one idle machine that it may use: it will be placed
-// there soon. Otherwise that machine would be released, and another one rented for the job. Further
-// machines for gangs are retained by isAwaitedByGang.
+// there soon, or after a pause. Otherwise that machine would be released, and another one rented when
+// the job is placed again. Further machines for gangs are retained by isAwaitedByGang.
 func (f *Fleet) machinesAwaited() map[*machine]bool {
 	awaited := map[*machine]bool{}
 	if len(f.demand.list) == 0 {
--- a/internal/fleet/rental_plan.go
+++ b/internal/fleet/rental_plan.go
@@ -79,8 +79,9 @@
 // demand.
 func (p *rentalPlan) planTasks(demand *Demand, queued float64, demands []Demand) {
 	for demand.Tasks > 0 {
-		usable := p.fleet.usableCPUs(demand, p.capacity)
-		kind, waitSeconds, found := p.cheapestKind(demand, queued, usable)
+		capacity := p.capacityFor(demand)
+		usable := p.fleet.usableCPUs(demand, capacity)
+		kind, waitSeconds, found := p.cheapestKind(demand, queued, usable, capacity)
 		if !found {
 			return
 		}
@@ -94,8 +95,8 @@
 // cheapestKind returns the kind of machine with the lowest cost for the demand, and the number of
 // seconds that the queue may take for it. found is false if no machine has to be rented or none
 // can be. queued is the work in processor seconds, usable the number of processors that the
-// demand can count on already.
-func (p *rentalPlan) cheapestKind(demand *Demand, queued, usable float64) (cheapest MachineKind, waitSeconds float64, found bool) {
+// demand can count on already, capacity the machines that they are on.
+func (p *rentalPlan) cheapestKind(demand *Demand, queued, usable float64, capacity fleetCapacity) (cheapest MachineKind, waitSeconds float64, found bool) {
 	lowestCost := math.Inf(1)
 	for kind, machineType := range p.fleet.rentableKinds() {
 		if p.plannedMachines[kind] >= tuning.MaxPlannedRentals || !p.fleet.emptyMachine(kind).CouldRun(demand.Spec, demand.Zone) {
@@ -105,7 +106,7 @@
 		if kind.Spot {
 			price, wait = machineType.SpotPrice, maxQueueSeconds(demand, machineType, tuning.MaxQueueTime)
 		}
-		if usable > resource.Epsilon && (queued/usable <= wait || !kind.Spot && p.meetsObjective(demand, machineType, queued)) {
+		if usable > resource.Epsilon && (queued/usable <= wait || !kind.Spot && p.meetsObjective(demand, machineType, queued, capacity)) {
 			continue
 		}
 		if cost := taskCost(demand, machineType, price); cost < lowestCost {
@@ -124,12 +125,12 @@
 	return price / max(usedCPUs, minCPUs) * (1 + tuning.LargeMachinePenalty*math.Log2(max(1, machineType.CPUs)))
 }
 
-// meetsObjective reports whether the available and planned machines, up or booting, can do the
-// queued work, within tuning.ExpensiveQueueFactor, before the next objective of the demand that
-// a new machine of the type could still meet. Ordinary machines are rented only if they cannot.
-func (p *rentalPlan) meetsObjective(demand *Demand, machineType *jobs.MachineType, queued float64) bool {
+// meetsObjective reports whether the machines of a capacity, up or booting, can do the queued work,
+// within tuning.ExpensiveQueueFactor, before the next objective of the demand that a new machine of
+// the type could still meet. Ordinary machines are rented only if they cannot.
+func (p *rentalPlan) meetsObjective(demand *Demand, machineType *jobs.MachineType, queued float64, capacity fleetCapacity) bool {
 	wait := demand.objectiveWait(readySeconds(demand, machineType), tuning.MissedObjectiveQueueTime.Seconds())
-	return queued <= tuning.ExpensiveQueueFactor*p.fleet.workWithin(demand, p.capacity, wait)
+	return queued <= tuning.ExpensiveQueueFactor*p.fleet.workWithin(demand, capacity, wait)
 }
 
 // machinesNeeded returns the number of machines of a kind that the tasks of demands would fill.
--- a/internal/fleet/shard_status.go
+++ b/internal/fleet/shard_status.go
@@ -30,6 +30,8 @@
 	Full           bool            `json:"full,omitempty"` // Hosts contains all machines of the shard
 	ReachableZones []string        `json:"lit,omitempty"`  // zones from which the owner has just received heartbeats
 	Hosts          []MachineStatus `json:"hosts"`
+	// Backoffs contains all jobs that the owner keeps off machines now, in each message.
+	Backoffs []JobBackoff `json:"backoffs,omitempty"`
 }
 
 // Recall asks a shard owner to return a number of waiting tasks of a job to the leader.
@@ -60,6 +62,7 @@
 	owner ownerStatus
 	// unreportedReleases are the IDs of the machines released since the owner's last message.
 	unreportedReleases []string
+	backoffs           backoffTable
 }
 
 // ownerStatus is the state of the message stream from a shard's owner.
@@ -111,6 +114,7 @@
 	} else {
 		reply.Full = true // its content is valid, but a previous message is missing
 	}
+	shard.backoffs = newBackoffTable(message.Backoffs, now)
 	for _, zone := range message.ReachableZones {
 		f.zones.reachableAt[zone] = now
 	}
--- a/internal/leader/capacity.go
+++ b/internal/leader/capacity.go
@@ -15,18 +15,22 @@
 
 // machineCapacity is the free capacity of one machine.
 type machineCapacity struct {
+	id        string
 	available resource.Vector
 	reserved  resource.Vector // room for gangs and starved jobs only
 	cache     *machineCache   // nil if no cached image is known
 }
 
-// taskCount returns how many tasks of a job the machine has room for. Gangs may use reserved
-// room, other jobs may not.
-func (m *machineCapacity) taskCount(spec *jobs.Spec) int {
-	if spec.IsGang() {
-		return spec.Resources().CountIn(m.available)
+// taskCount returns how many tasks of a job the machine has room for on which its shard's owner would
+// place them now. Gangs may use reserved room, other jobs may not unless they are starved.
+func (m *machineCapacity) taskCount(request *roomRequest, backoff *fleet.Backoff) int {
+	switch {
+	case backoff.Avoids(m.id, request.now):
+		return 0
+	case request.spec.IsGang() || request.starved:
+		return request.spec.Resources().CountIn(m.available)
 	}
-	return m.unreservedTaskCount(spec)
+	return m.unreservedTaskCount(request.spec)
 }
 
 // unreservedTaskCount returns how many tasks of a job fit into the unreserved room.
@@ -44,6 +48,28 @@
 	return m.available.CPUs > resource.Epsilon && m.available.MemoryGB > resource.Epsilon
 }
 
+// roomRequest is a job for whose tasks room is counted or allocated.
+type roomRequest struct {
+	spec     *jobs.Spec
+	starved  bool // has waited too long to leave reserved room unused
+	backoffs backoffSource
+	now      time.Duration
+}
+
+// backoffSource tells what keeps a job off machines of a shard, nil if nothing does. It is
+// implemented by fleet.Fleet.
+type backoffSource interface {
+	Backoff(jobID string, shard int) *fleet.Backoff
+}
+
+// backoff returns what keeps the job off machines of a shard, nil if nothing does.
+func (r *roomRequest) backoff(shard int) *fleet.Backoff { return r.backoffs.Backoff(r.spec.ID, shard) }
+
+// roomFor returns the request of a job for room.
+func (v *capacityView) roomFor(spec *jobs.Spec, starved bool) *roomRequest {
+	return &roomRequest{spec: spec, starved: starved, backoffs: v.backoffs, now: v.now}
+}
+
 // machineGroup is the machines of one kind in one shard that are either all up or all
 // booting. Whether a job may use them is decided once for the whole group.
 type machineGroup struct {
@@ -57,23 +83,20 @@
 // allocate allocates room for up to limit tasks of a job on the machines of the group and
 // returns for how many there was room. The fullest machines are used first, so that the
 // others become empty and can be released.
-func (g *machineGroup) allocate(job *jobState, limit int) int {
+func (g *machineGroup) allocate(request *roomRequest, limit int) int {
 	if !g.sorted {
 		sort.Slice(g.machines, func(i, j int) bool { return g.machines[i].available.CPUs < g.machines[j].available.CPUs })
 		g.sorted = true
 	}
-	task := job.spec.Resources()
+	task := request.spec.Resources()
+	backoff := request.backoff(g.shard)
 	allocated := 0
 	for i := range g.machines {
 		if allocated == limit {
 			break
 		}
 		machine := &g.machines[i]
-		count := machine.taskCount(job.spec)
-		if job.starved { // has waited too long to leave reserved room unused
-			count = task.CountIn(machine.available)
-		}
-		count = min(count, limit-allocated)
+		count := min(machine.taskCount(request, backoff), limit-allocated)
 		machine.available = machine.available.Minus(task.Times(float64(count)))
 		allocated += count
 	}
@@ -97,6 +120,8 @@
 // capacityView is the free capacity of all available machines in one dispatch round. The
 // round subtracts from it what it plans.
 type capacityView struct {
+	backoffs     backoffSource
+	now          time.Duration
 	groups       []*machineGroup
 	totalCPUs    []float64 // processors of all machines, by shard
 	queuedCPUs   []float64 // processors that tasks in the shard's queues need, by shard
@@ -105,7 +130,7 @@
 
 // newCapacityView returns the free capacity of all available machines.
 func newCapacityView(shards int, machines *fleet.Fleet, usage *MachineUsage, now time.Duration) *capacityView {
-	view := &capacityView{totalCPUs: make([]float64, shards), queuedCPUs: make([]float64, shards)}
+	view := &capacityView{backoffs: machines, now: now, totalCPUs: make([]float64, shards), queuedCPUs: make([]float64, shards)}
 	type groupKey struct {
 		kind    fleet.MachineKind
 		shard   int
@@ -124,6 +149,7 @@
 			view.groups = append(view.groups, group)
 		}
 		capacity := machineCapacity{
+			id:        machine.ID,
 			available: usage.available(machine.ID, machine.MachineType),
 			cache:     usage.recordAvailable(machine.ID, machine.MachineType, now),
 		}
@@ -157,9 +183,10 @@
 	booting bool   // true: machines that boot; false: machines that are up
 }
 
-// includes reports whether a group belongs to the set and a job may use its machines.
-func (s machineSet) includes(group *machineGroup, spec *jobs.Spec) bool {
-	return group.booting == s.booting && (s.shard == anyShard || group.shard == s.shard) && group.kind.CouldRun(spec, s.zone)
+// includes reports whether a group belongs to the set and a job may use its machines now.
+func (s machineSet) includes(group *machineGroup, request *roomRequest) bool {
+	return group.booting == s.booting && (s.shard == anyShard || group.shard == s.shard) &&
+		!request.backoff(group.shard).IsPaused(request.now) && group.kind.CouldRun(request.spec, s.zone)
 }
 
 // allocate allocates room for up to limit tasks of a job on the machines of a set and returns
@@ -167,14 +194,15 @@
 // shard of the group and its number of tasks.
 func (v *capacityView) allocate(job *jobState, set machineSet, limit int, onAllocated func(shard, tasks int)) int {
 	total := 0
+	request := v.roomFor(job.spec, job.starved)
 	for _, group := range v.groups {
 		if total == limit {
 			break
 		}
-		if len(group.machines) == 0 || !set.includes(group, job.spec) {
+		if len(group.machines) == 0 || !set.includes(group, request) {
 			continue
 		}
-		if count := group.allocate(job, limit-total); count > 0 {
+		if count := group.allocate(request, limit-total); count > 0 {
 			total += count
 			onAllocated(group.shard, count)
 		}
@@ -193,13 +221,15 @@
 // is set, only machines that cache the image of the job count.
 func (v *capacityView) countTasks(spec *jobs.Spec, set machineSet, cached bool) int {
 	count := 0
+	request := v.roomFor(spec, false)
 	for _, group := range v.groups {
-		if !set.includes(group, spec) {
+		if !set.includes(group, request) {
 			continue
 		}
+		backoff := request.backoff(group.shard)
 		for i := range group.machines {
 			if machine := &group.machines[i]; !cached || machine.caches(spec.Image) {
-				count += machine.taskCount(spec)
+				count += machine.taskCount(request, backoff)
 			}
 		}
 	}
@@ -230,17 +260,23 @@
 	return shards
 }
 
-// servingShards reports for each shard whether it has a machine that may run tasks of a job.
+// servingShards reports for each shard whether it has a machine that may run tasks of a job, and does
+// not pause the job.
 func (v *capacityView) servingShards(spec *jobs.Spec, zone string) []bool {
 	serving := make([]bool, len(v.totalCPUs))
 	for _, group := range v.groups {
-		if !serving[group.shard] && group.kind.CouldRun(spec, zone) {
+		if !serving[group.shard] && group.kind.CouldRun(spec, zone) && !v.isPaused(spec, group.shard) {
 			serving[group.shard] = true
 		}
 	}
 	return serving
 }
 
+// isPaused reports whether the owner of a shard places no tasks of a job now.
+func (v *capacityView) isPaused(spec *jobs.Spec, shard int) bool {
+	return v.backoffs.Backoff(spec.ID, shard).IsPaused(v.now)
+}
+
 // shardToQueueIn returns the shard in whose queues a task should wait: homeShard if its queues
 // are not full, else the shard whose queues are the shortest relative to its processors. It
 // returns -1 if the queues of all shards that could run the task are full.
--- a/internal/leader/dispatch.go
+++ b/internal/leader/dispatch.go
@@ -38,8 +38,17 @@
 	return true
 }
 
-// addDemand adds demand for tasks that could run now if there were machines for them.
+// addDemand adds demand for tasks that could run now if there were machines for them. More machines
+// do not help a job whose tasks fail on every machine: it gets one if there is none. A job that a
+// shard's owner has paused after failures gets none.
 func (r *dispatchRound) addDemand(job *jobState, zone string, tasks int) {
+	if tasks > 0 && r.leader.fleet.IsPaused(job.spec.ID) {
+		r.addQueued(job, zone, tasks)
+		return
+	}
+	if tasks > 0 && r.leader.fleet.MayFailEverywhere(job.spec.ID) {
+		tasks = 1
+	}
 	if tasks > 0 {
 		r.demands = append(r.demands, fleet.Demand{
 			Spec: job.spec, Zone: zone, Tasks: tasks, Rank: job.position,
@@ -92,10 +101,16 @@
 	}
 }
 
-// planQueue plans the tasks of a job in one shard queue. It allocates room on machines of the
-// shard that are up to them, recalls tasks that fit on machines of other shards that are up,
-// allocates room on booting machines of the shard, and adds demand for the rest.
+// planQueue plans the tasks of a job in one shard queue, unless the shard's owner has paused the job.
+// It allocates room on machines of the shard that are up to them, recalls tasks that fit on machines
+// of other shards that are up, allocates room on booting machines of the shard, and adds demand for
+// the rest.
 func (r *dispatchRound) planQueue(job *jobState, queue shardQueue) {
+	if r.capacity.isPaused(job.spec, queue.shard) {
+		r.capacity.queuedCPUs[queue.shard] += float64(queue.tasks) * job.spec.CPUs
+		r.addDemand(job, queue.zone, queue.tasks)
+		return
+	}
 	set := machineSet{zone: queue.zone, shard: queue.shard}
 	waiting := queue.tasks - r.capacity.occupy(job, set, queue.tasks)
 	r.addQueued(job, queue.zone, queue.tasks-waiting)
--- a/internal/leader/fixture_test.go
+++ b/internal/leader/fixture_test.go
@@ -68,6 +68,7 @@
 	leader   *Leader
 	metrics  *metrics.Metrics
 	statuses uint64
+	backoffs []fleet.JobBackoff // that the owner of shard 0 reports
 }
 
 // startNode returns a started controller with one shard that tries to acquire the leadership.
@@ -149,7 +150,11 @@
 			ID: fmt.Sprintf("vm-%d", shard+n.config.shards), MachineType: "g8", Zone: n.config.zones[shard%len(n.config.zones)],
 			HasReported: true, AcceptsTasks: true,
 		}
-		n.fleet.HandleStatus(&fleet.ShardStatus{Shard: shard, Full: true, Token: 1, Seq: n.statuses, Hosts: []fleet.MachineStatus{machine}})
+		status := &fleet.ShardStatus{Shard: shard, Full: true, Token: 1, Seq: n.statuses, Hosts: []fleet.MachineStatus{machine}}
+		if shard == 0 {
+			status.Backoffs = n.backoffs
+		}
+		n.fleet.HandleStatus(status)
 	}
 	n.leader.RequestRound()
 	n.leader.AfterBatch()
--- a/internal/leader/gang_capacity.go
+++ b/internal/leader/gang_capacity.go
@@ -129,8 +129,9 @@
 // were empty, by shard and zone.
 func (l *Leader) emptyMachineRoom(spec *jobs.Spec) map[shardZone]int {
 	room := map[shardZone]int{}
+	now := l.runtime.Now()
 	l.fleet.EachAvailable(func(machine *fleet.AvailableMachine) {
-		if !machine.Booting && machine.CouldRun(spec, "") {
+		if !machine.Booting && machine.CouldRun(spec, "") && !l.fleet.Backoff(spec.ID, machine.Shard).Avoids(machine.ID, now) {
 			tasks := spec.Resources().CountIn(machine.MachineType.Resources())
 			room[shardZone{machine.Shard, machine.Zone}] += tasks
 			room[shardZone{machine.Shard, ""}] += tasks
--- a/internal/leader/queries.go
+++ b/internal/leader/queries.go
@@ -17,8 +17,9 @@
 // or, if zone is empty, in all zones.
 func (l *Leader) CapacityFor(spec *jobs.Spec, zone string) int {
 	tasks := 0
+	now := l.runtime.Now()
 	l.fleet.EachAvailable(func(machine *fleet.AvailableMachine) {
-		if !machine.Booting && machine.CouldRun(spec, zone) {
+		if !machine.Booting && machine.CouldRun(spec, zone) && machine.Accepts(l.fleet.Backoff(spec.ID, machine.Shard), now) {
 			tasks += spec.Resources().CountIn(l.machines.available(machine.ID, machine.MachineType))
 		}
 	})
--- a/internal/placement/arrivals.go
+++ b/internal/placement/arrivals.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"lemonmoor/internal/resource"
 	"lemonmoor/internal/taskstate"
@@ -59,9 +60,9 @@
 	}
 	for _, machines := range byDistance {
 		if len(tasks) > 0 && spec.IsService() {
-			tasks = p.spreadReplicas(tasks, machines)
+			tasks = p.spreadReplicas(tasks, machines, round.now)
 		}
-		tasks = p.fillMachines(tasks, machines)
+		tasks = p.fillMachines(tasks, machines, round.now)
 	}
 	return tasks
 }
@@ -70,7 +71,7 @@
 // replicas yet and returns the replicas that are not started. It guards against losing all
 // replicas with one machine. Only machines that already run replicas of services are used, so
 // that no machine is retained or rented just for the spread.
-func (p *Planner) spreadReplicas(replicas []*taskstate.Task, machines []*workers.Worker) []*taskstate.Task {
+func (p *Planner) spreadReplicas(replicas []*taskstate.Task, machines []*workers.Worker, now time.Duration) []*taskstate.Task {
 	occupied := map[string]bool{}
 	for _, task := range replicas[0].Job.Tasks {
 		if task.State == taskstate.StatePlaced {
@@ -81,7 +82,7 @@
 		if len(replicas) == 0 {
 			break
 		}
-		if worker.ServiceCPUs > resource.Epsilon && !occupied[worker.ID] && fits(replicas[0], worker) {
+		if worker.ServiceCPUs > resource.Epsilon && !occupied[worker.ID] && fits(replicas[0], worker, now) {
 			p.machines.PlaceTask(replicas[0], worker)
 			replicas = replicas[1:]
 		}
@@ -91,9 +92,9 @@
 
 // fillMachines starts a job's tasks on the machines in their order, filling each before the
 // next, and returns the tasks that are not started.
-func (p *Planner) fillMachines(tasks []*taskstate.Task, machines []*workers.Worker) []*taskstate.Task {
+func (p *Planner) fillMachines(tasks []*taskstate.Task, machines []*workers.Worker, now time.Duration) []*taskstate.Task {
 	for _, worker := range machines {
-		for len(tasks) > 0 && fits(tasks[0], worker) {
+		for len(tasks) > 0 && fits(tasks[0], worker, now) {
 			p.machines.PlaceTask(tasks[0], worker)
 			tasks = tasks[1:]
 		}
@@ -110,7 +111,7 @@
 	image := tasks[0].Job.Spec.Image
 	var caching []*workers.Worker
 	for _, worker := range round.accepting {
-		if worker.HasImage(image) && couldFit(tasks[0], worker) {
+		if worker.HasImage(image) && couldFit(tasks[0], worker, round.now) {
 			caching = append(caching, worker)
 		}
 	}
--- a/internal/placement/fits.go
+++ b/internal/placement/fits.go
@@ -20,31 +20,32 @@
 
 // fits reports whether a task can be placed on a machine now without using the room that is
 // reserved for gangs.
-func fits(task *taskstate.Task, worker *workers.Worker) bool {
-	return fitsIn(task, worker, worker.Free().Minus(worker.Reserved))
+func fits(task *taskstate.Task, worker *workers.Worker, now time.Duration) bool {
+	return fitsIn(task, worker, worker.Free().Minus(worker.Reserved), now)
 }
 
 // fitsWithReserved reports whether a task can be placed on a machine now, including in the
 // room that is reserved for gangs.
-func fitsWithReserved(task *taskstate.Task, worker *workers.Worker) bool {
-	return fitsIn(task, worker, worker.Free())
+func fitsWithReserved(task *taskstate.Task, worker *workers.Worker, now time.Duration) bool {
+	return fitsIn(task, worker, worker.Free(), now)
 }
 
-// fitsIn reports whether a task can be placed on a machine of which the given resources are
+// fitsIn reports whether a task can be placed now on a machine of which the given resources are
 // available.
-func fitsIn(task *taskstate.Task, worker *workers.Worker, available resource.Vector) bool {
-	return task.Job.Spec.Resources().Fits(available) && task.Queue.AvoidWorker != worker.ID && Allowed(task, worker)
+func fitsIn(task *taskstate.Task, worker *workers.Worker, available resource.Vector, now time.Duration) bool {
+	return task.Job.Spec.Resources().Fits(available) && !isExcluded(task, worker, now)
 }
 
-// couldFit reports whether a task could be placed on a machine if the machine were empty.
-func couldFit(task *taskstate.Task, worker *workers.Worker) bool {
-	return worker.MachineType != nil && worker.MachineType.CanRun(task.Job.Spec) && task.Queue.AvoidWorker != worker.ID && Allowed(task, worker)
+// couldFit reports whether a task could be placed on a machine now if the machine were empty.
+func couldFit(task *taskstate.Task, worker *workers.Worker, now time.Duration) bool {
+	return worker.MachineType != nil && worker.MachineType.CanRun(task.Job.Spec) && !isExcluded(task, worker, now)
 }
 
-// isExcluded reports whether a task must not be placed on a machine, regardless of free
-// resources. A gang's task does not return to a worker that it has been on in this attempt.
-func isExcluded(task *taskstate.Task, worker *workers.Worker) bool {
-	return task.Queue.AvoidWorker == worker.ID || slices.Contains(task.Tried.Workers, worker.ID) || !Allowed(task, worker)
+// isExcluded reports whether a task must not be placed on a machine now, regardless of free
+// resources: its job does not allow the machine or avoids it after failures, or the task is a
+// gang's that has been on it in this attempt.
+func isExcluded(task *taskstate.Task, worker *workers.Worker, now time.Duration) bool {
+	return !Allowed(task, worker) || task.Job.Failures.Avoids(worker.ID, now) || slices.Contains(task.Tried.Workers, worker.ID)
 }
 
 // countThatFit returns how many tasks of a job fit on a machine now, including in room that
@@ -69,11 +70,9 @@
 
 // isDue reports whether a task may start now. A task is paused after a failure, for example.
 func isDue(task *taskstate.Task, now time.Duration) bool {
-	return now >= task.Queue.NotBefore && now >= task.Job.NotBefore
+	return now >= task.Queue.NotBefore && now >= task.Job.NotBefore && !task.Job.Failures.IsPaused(now)
 }
 
-// isUnconstrained reports whether a task has no placement constraint beyond those of its job:
-// neither a fixed zone nor a worker to avoid.
-func isUnconstrained(task *taskstate.Task) bool {
-	return task.Zone == "" && task.Queue.AvoidWorker == ""
-}
+// isUnconstrained reports whether a task has no placement constraint beyond those of its job, since
+// no zone is fixed for it.
+func isUnconstrained(task *taskstate.Task) bool { return task.Zone == "" }
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -75,7 +75,7 @@
 // placeGang places all tasks of a gang on machines with room, or none, and reports whether it
 // placed them.
 func (p *Planner) placeGang(round *placementRound, gang *pendingGang, isUsable func(*workers.Worker) bool) bool {
-	machines := findMachines(round.withRoom, gang.tasks, isUsable, countThatFit)
+	machines := findMachines(round.withRoom, gang.tasks, isUsable, countThatFit, round.now)
 	if machines == nil {
 		return false
 	}
@@ -101,12 +101,12 @@
 // of the remaining tasks, and of equals the one with the least capacity. A gang runs at the
 // speed of its slowest machine, and tasks on few machines have similar speeds. count returns
 // how many of the tasks a machine has room for.
-func findMachines(machines []*workers.Worker, tasks []*taskstate.Task, isUsable func(*workers.Worker) bool, count func(*taskstate.Task, *workers.Worker) int) []*workers.Worker {
+func findMachines(machines []*workers.Worker, tasks []*taskstate.Task, isUsable func(*workers.Worker) bool, count func(*taskstate.Task, *workers.Worker) int, now time.Duration) []*workers.Worker {
 	found := make([]*workers.Worker, len(tasks))
 	for _, indexes := range groupByZone(tasks) {
-		search := zoneSearch{tasks: tasks, unassigned: indexes}
+		search := zoneSearch{tasks: tasks, unassigned: indexes, now: now}
 		for _, worker := range machines {
-			if Allowed(tasks[indexes[0]], worker) && isUsable(worker) {
+			if Allowed(tasks[indexes[0]], worker) && !tasks[0].Job.Failures.Avoids(worker.ID, now) && isUsable(worker) {
 				search.add(worker, count(tasks[0], worker))
 			}
 		}
@@ -124,6 +124,7 @@
 	unassigned    []int             // indexes of tasks that have no machine yet
 	candidates    []gangCandidate
 	totalCapacity int // in tasks, of all candidates
+	now           time.Duration
 }
 
 // gangCandidate is a machine that can run tasks of a gang.
@@ -148,7 +149,7 @@
 		return false
 	}
 	hasExclusions := slices.ContainsFunc(s.unassigned, func(i int) bool {
-		return s.tasks[i].Queue.AvoidWorker != "" || len(s.tasks[i].Tried.Workers) > 0
+		return len(s.tasks[i].Tried.Workers) > 0
 	})
 	for len(s.unassigned) > 0 {
 		best := s.bestCandidate(hasExclusions)
@@ -156,7 +157,7 @@
 			return false
 		}
 		s.unassigned = slices.DeleteFunc(s.unassigned, func(i int) bool {
-			if best.capacity == 0 || isExcluded(s.tasks[i], best.worker) {
+			if best.capacity == 0 || isExcluded(s.tasks[i], best.worker, s.now) {
 				return false
 			}
 			found[i] = best.worker
@@ -168,8 +169,7 @@
 }
 
 // bestCandidate returns the candidate to assign tasks to next, or nil if none can run any.
-// hasExclusions is set if a task has a worker to avoid or was on some worker already, see
-// isExcluded.
+// hasExclusions is set if a task was on some worker already, see isExcluded.
 func (s *zoneSearch) bestCandidate(hasExclusions bool) *gangCandidate {
 	var best *gangCandidate
 	bestCount := 0 // unassigned tasks that best can run
@@ -191,7 +191,7 @@
 func (s *zoneSearch) countEligible(worker *workers.Worker) int {
 	count := 0
 	for _, i := range s.unassigned {
-		if !isExcluded(s.tasks[i], worker) {
+		if !isExcluded(s.tasks[i], worker, s.now) {
 			count++
 		}
 	}
--- a/internal/placement/overdue.go
+++ b/internal/placement/overdue.go
@@ -43,7 +43,7 @@
 // least minPriority is placed there.
 func (p *Planner) startOrHold(round *placementRound, task *taskstate.Task, minPriority jobs.Priority) bool {
 	for _, worker := range round.machinesFor(task) {
-		if isUnheld(worker) && (fits(task, worker) || (round.isStarved(task.Job) && fitsWithReserved(task, worker))) {
+		if isUnheld(worker) && (fits(task, worker, round.now) || (round.isStarved(task.Job) && fitsWithReserved(task, worker, round.now))) {
 			p.startQueued(task, worker)
 			return true
 		}
@@ -51,7 +51,7 @@
 	var best *workers.Worker
 	mostFree := -1.0 // processors
 	for _, worker := range round.accepting {
-		if worker.Hold.IsSet() || !couldFit(task, worker) {
+		if worker.Hold.IsSet() || !couldFit(task, worker, round.now) {
 			continue
 		}
 		if free := worker.Free().CPUs; free > mostFree {
@@ -86,7 +86,7 @@
 		slices.SortStableFunc(machines, func(a, b *workers.Worker) int {
 			return cmp.Compare(countThatFit(gang.tasks[0], b), countThatFit(gang.tasks[0], a))
 		})
-		for _, worker := range machinesToHold(machines, gang.tasks, isUnheld) {
+		for _, worker := range machinesToHold(machines, gang.tasks, round) {
 			hold(worker, gang.job, minPriority)
 		}
 	}
@@ -94,16 +94,16 @@
 
 // machinesToHold returns machines on which all tasks would fit if the machines were empty,
 // selected in the given order, or nil if there are not enough.
-func machinesToHold(machines []*workers.Worker, tasks []*taskstate.Task, isUsable func(*workers.Worker) bool) []*workers.Worker {
+func machinesToHold(machines []*workers.Worker, tasks []*taskstate.Task, round *placementRound) []*workers.Worker {
 	var held []*workers.Worker
-	for zone, indexes := range groupByZone(tasks) {
+	for _, indexes := range groupByZone(tasks) {
 		remaining := len(indexes)
 		task := tasks[indexes[0]]
 		for _, worker := range machines {
 			if remaining <= 0 {
 				break
 			}
-			if !isUsable(worker) || isExcluded(task, worker) || (zone != "" && worker.Zone != zone) || slices.Contains(held, worker) || !couldFit(task, worker) {
+			if worker.Hold.IsSet() || slices.Contains(held, worker) || !couldFit(task, worker, round.now) {
 				continue
 			}
 			held = append(held, worker)
--- a/internal/placement/passed_over.go
+++ b/internal/placement/passed_over.go
@@ -19,7 +19,7 @@
 	ExclusionNone Exclusion = iota
 	// ExclusionKind means that the job or the task's zone does not allow the machine.
 	ExclusionKind
-	// ExclusionAvoided means that the task avoids the machine since it has failed there.
+	// ExclusionAvoided means that the job avoids the machine since its tasks have failed there.
 	ExclusionAvoided
 	// ExclusionTried means that the gang's task has been on the machine in this attempt.
 	ExclusionTried
@@ -36,7 +36,7 @@
 var exclusionNames = [...]string{
 	ExclusionNone:     "none",
 	ExclusionKind:     "kind or zone not allowed",
-	ExclusionAvoided:  "failed there",
+	ExclusionAvoided:  "job failed there",
 	ExclusionTried:    "tried in this attempt",
 	ExclusionPaused:   "paused",
 	ExclusionHeld:     "held for overdue work",
@@ -52,15 +52,15 @@
 	return exclusionNames[e]
 }
 
-// exclusionOf returns the first reason for which a task is not placed now on a machine that accepts
+// ExclusionOf returns the first reason for which a task is not placed now on a machine that accepts
 // tasks and whose free resources suffice.
-func exclusionOf(task *taskstate.Task, worker *workers.Worker, now time.Duration) Exclusion {
+func ExclusionOf(task *taskstate.Task, worker *workers.Worker, now time.Duration) Exclusion {
 	switch {
 	case !Allowed(task, worker):
 		return ExclusionKind
 	case !isDue(task, now):
 		return ExclusionPaused
-	case task.Queue.AvoidWorker == worker.ID:
+	case task.Job.Failures.Avoids(worker.ID, now):
 		return ExclusionAvoided
 	case slices.Contains(task.Tried.Workers, worker.ID):
 		return ExclusionTried
@@ -68,7 +68,7 @@
 		return ExclusionHeld
 	case task.Job.Gang != nil:
 		return ExclusionGang
-	case !fits(task, worker):
+	case !fits(task, worker, now):
 		return ExclusionReserved
 	}
 	return ExclusionNone
@@ -94,7 +94,7 @@
 		}
 		if worker := machineWithRoom(task, accepting); worker != nil {
 			p.passedOverAt[task.Job] = now
-			found = append(found, PassedOver{task, worker.ID, now - enqueuedAt(task), exclusionOf(task, worker, now)})
+			found = append(found, PassedOver{task, worker.ID, now - enqueuedAt(task), ExclusionOf(task, worker, now)})
 		}
 	}
 	for job, lastAt := range p.passedOverAt {
--- a/internal/placement/passed_over_test.go
+++ b/internal/placement/passed_over_test.go
@@ -19,7 +19,9 @@
 		cause  func(f *plannerFixture, job *taskstate.Job)
 		reason Exclusion
 	}{
-		{"avoided", func(f *plannerFixture, _ *taskstate.Job) { f.extraQueue[0].Queue.AvoidWorker = f.machines[0].ID }, ExclusionAvoided},
+		{"avoided", func(f *plannerFixture, job *taskstate.Job) {
+			job.Failures.Record(&taskstate.Task{WorkerID: f.machines[0].ID}, f.now+tuning.PassedOverAfter)
+		}, ExclusionAvoided},
 		{"paused", func(_ *plannerFixture, job *taskstate.Job) { job.NotBefore = 2 * time.Hour }, ExclusionPaused},
 		{"held", func(f *plannerFixture, _ *taskstate.Job) {
 			f.machines[0].Hold = workers.Hold{JobID: "wk-9", MinPriority: jobs.PriorityCritical}
--- a/internal/placement/pull.go
+++ b/internal/placement/pull.go
@@ -27,7 +27,7 @@
 
 // fillFromQueues starts queued tasks on a machine while any of the samples fits.
 func (p *Planner) fillFromQueues(filter *pullFilter, samples []*taskstate.Task) {
-	fitsHere := func(task *taskstate.Task) bool { return fits(task, filter.worker) }
+	fitsHere := func(task *taskstate.Task) bool { return fits(task, filter.worker, filter.now) }
 	for slices.ContainsFunc(samples, fitsHere) {
 		task := p.nextTaskFor(filter)
 		if task == nil {
--- a/internal/placement/queues.go
+++ b/internal/placement/queues.go
@@ -67,7 +67,7 @@
 	if (task.Job == *unfit && isUnconstrained(task)) || !isQueued(task) || task.Job.Spec.Priority() != f.priority || !isDue(task, f.now) {
 		return false
 	}
-	if fits(task, f.worker) {
+	if fits(task, f.worker, f.now) {
 		return true
 	}
 	*unfit = task.Job // its tasks are interchangeable: if one does not fit, none does
--- a/internal/placement/reservations.go
+++ b/internal/placement/reservations.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"lemonmoor/internal/gangforecast"
 	"lemonmoor/internal/jobs"
@@ -63,7 +64,7 @@
 			if cpuBudget -= float64(class.Tasks) * class.Spec.CPUs; cpuBudget < 0 {
 				return
 			}
-			for _, worker := range findReservation(round.withRoom, sample, zones) {
+			for _, worker := range findReservation(round.withRoom, sample, zones, round.now) {
 				worker.Reserved = worker.Reserved.Plus(class.Spec.Resources())
 			}
 		}
@@ -89,7 +90,7 @@
 // findReservation returns a machine for each task of an expected gang, or nil if no zone has
 // room for it. Of the zones with room it selects the one whose first machine is nearest to the
 // image, and the first of equals.
-func findReservation(machines []*workers.Worker, sample gangSample, zones []string) []*workers.Worker {
+func findReservation(machines []*workers.Worker, sample gangSample, zones []string, now time.Duration) []*workers.Worker {
 	image := sample.spec.Image
 	isUsable := func(*workers.Worker) bool { return true }
 	var best []*workers.Worker
@@ -97,7 +98,7 @@
 		for _, task := range sample.tasks {
 			task.Zone = zone
 		}
-		found := findMachines(machines, sample.tasks, isUsable, countThatFitUnreserved)
+		found := findMachines(machines, sample.tasks, isUsable, countThatFitUnreserved, now)
 		if found != nil && (best == nil || imageDistance(found[0], image) < imageDistance(best[0], image)) {
 			best = found
 		}
--- a/internal/taskstate/job.go
+++ b/internal/taskstate/job.go
@@ -18,11 +18,10 @@
 	// returned to the leader.
 	Tasks map[int]*Task
 	// Groups maps the keys of the job's records in the shard to their working copies.
-	Groups map[string]*TaskGroup
-	// ConsecutiveFailures is the number of consecutive task failures. NotBefore is the end
-	// of the pause after them.
-	ConsecutiveFailures int
-	NotBefore           time.Duration
+	Groups   map[string]*TaskGroup
+	Failures Failures
+	// NotBefore is the end of the pause after a gang's incomplete attempt.
+	NotBefore time.Duration
 	// Gang is nil if the job's tasks need not run at the same time.
 	Gang *Gang
 	// PartDoneElsewhere is set when a task of a divided gang is done in another shard.
--- a/internal/taskstate/task.go
+++ b/internal/taskstate/task.go
@@ -117,10 +117,9 @@
 
 // QueueEntry is the planner's queue state of a waiting task.
 type QueueEntry struct {
-	Queued      bool
-	EnqueuedAt  time.Duration
-	NotBefore   time.Duration
-	AvoidWorker string // a worker on which the task has failed; "" for none
+	Queued     bool
+	EnqueuedAt time.Duration
+	NotBefore  time.Duration
 }
 
 // LogPosition is the position of a task's newest durable status in the shard's log.
--- a/internal/tuning/peers.go
+++ b/internal/tuning/peers.go
@@ -4,6 +4,9 @@
 
 // Messages between the controllers.
 const (
+	// MaxReportedBackoffs is the number of entries on jobs that are kept off machines in a status
+	// message.
+	MaxReportedBackoffs = 1000
 	// StatusInterval is the time between two status messages of a shard owner to the leader.
 	StatusInterval = 1 * time.Second
 	// StatusStaleAfter is the age from which the leader no longer trusts a shard's last status.
--- a/internal/tuning/workers.go
+++ b/internal/tuning/workers.go
@@ -74,9 +74,18 @@
 	// machine was full, the machine gets no tasks for this time, and the task pauses for a
 	// quarter of it.
 	RefusedTaskPause = 2 * time.Second
-	// MinFailurePause is the pause of a job after SlowdownFailures failures of its tasks without
-	// a completed one in between, on any machines. It doubles with each further failure, up
-	// to MaxFailurePause.
+	// FirstAvoidance is how long a job avoids a machine after its tasks have failed there. A
+	// machine that fails tasks for a few seconds may be the only one with room.
+	FirstAvoidance = 10 * time.Second
+	// RepeatedAvoidance is how long the job avoids the machine if they have failed there again. A
+	// machine can be rented in that time. It stays below the 90 s for which a job may wait beside
+	// a machine with room.
+	RepeatedAvoidance = 45 * time.Second
+	// MaxFailedWorkers is the number of machines on which a job's failures are distinguished.
+	MaxFailedWorkers = 16
+	// MinFailurePause is the pause of a job after SlowdownFailures failures of its tasks, those at
+	// the same time counted once, without a completed one in between, on any machines. It doubles
+	// with each further failure, up to MaxFailurePause.
 	MinFailurePause = 2 * time.Second
 	// MaxFailurePause is the maximum pause of a job whose tasks fail.
 	MaxFailurePause = 60 * time.Second
@@ -85,9 +94,15 @@
 	SlowdownFailures = 3
 	// MaxFailurePauseDoublings prevents an overflow when the pause is doubled.
 	MaxFailurePauseDoublings = 6
-	// FaultyWorkerFailures is the number of consecutive failures, of one job or of several,
-	// after which a machine gets no more tasks, unless the job is the likely cause.
+	// FaultyWorkerFailures is the number of consecutive failures after which a machine gets no
+	// more tasks, if their jobs are not the likely cause.
 	FaultyWorkerFailures = 2
+	// FaultyWorkerJobs is the number of jobs that have failed on a machine in a row from which the
+	// machine is the likely cause, even if each of them has failed elsewhere too.
+	FaultyWorkerJobs = 3
+	// SoundRunHeartbeats is the number of heartbeat intervals for which a task of a job runs on one
+	// machine to show that those that fail on another one are not the job's fault.
+	SoundRunHeartbeats = 2
 	// SpotNoticeReserve is how long before the cloud reclaims a spot machine it is released,
 	// so that its tasks are known to be gone.
 	SpotNoticeReserve = 2 * time.Second
--- a/internal/workers/gangs_test.go
+++ b/internal/workers/gangs_test.go
@@ -21,8 +21,8 @@
 				fixture.reportAll(t, "waiting", "")
 				fixture.reportAll(t, "ended", cause)
 				clear(fixture.worker.tasks)
-				if worker.DrainReason != "" || worker.ConsecutiveFailures > 0 || fixture.job.ConsecutiveFailures > 0 {
-					t.Fatalf("cause %s counts as a failure: job failures %d, worker %+v", cause, fixture.job.ConsecutiveFailures, worker)
+				if worker.DrainReason != "" || worker.ConsecutiveFailures > 0 || fixture.job.Failures.Rounds > 0 {
+					t.Fatalf("cause %s counts as a failure: job failures %d, worker %+v", cause, fixture.job.Failures.Rounds, worker)
 				}
 				if fixture.job.Gang.Attempt != 0 || len(worker.Tasks) != 0 {
 					t.Fatalf("cause %s: attempt %d with %d tasks on the machine, want no attempt and no tasks", cause, fixture.job.Gang.Attempt, len(worker.Tasks))
--- a/internal/workers/task_ends.go
+++ b/internal/workers/task_ends.go
@@ -51,8 +51,8 @@
 // durable.
 func (c *reconciliation) processCompleted(task *taskstate.Task, reported *ReportedTask) {
 	registry := c.registry
-	c.worker.recordSuccess()
-	task.Job.ConsecutiveFailures = 0
+	c.worker.recordSuccess(task)
+	registry.recordCompletion(task.Job)
 	if task.Job.Spec.IsService() && task.Job.Gang == nil {
 		// A replica of a service is never done, so it is placed again.
 		registry.endPlacement(c.worker, task, EvidenceExited, taskstate.LossExited)
@@ -74,24 +74,3 @@
 		registry.tasks.TaskDone(task)
 	}
 }
-
-// recordTaskFailure records the failure of a task on a worker. A worker that fails task after
-// task is drained, unless the job is the likely cause. A job whose tasks fail one after the
-// other is paused, for longer with each failure, up to MaxFailurePause.
-func (r *Registry) recordTaskFailure(worker *Worker, task *taskstate.Task) {
-	job := task.Job
-	worker.recordFailure(job)
-	task.Queue.AvoidWorker = worker.ID
-	r.log.Info("task failed", "worker", worker.ID, "task", task.Name(), "count", worker.ConsecutiveFailures)
-	job.ConsecutiveFailures++
-	if job.ConsecutiveFailures >= tuning.SlowdownFailures {
-		doublings := min(job.ConsecutiveFailures-tuning.SlowdownFailures, tuning.MaxFailurePauseDoublings)
-		job.NotBefore = r.runtime.Now() + min(tuning.MinFailurePause<<doublings, tuning.MaxFailurePause)
-	}
-	// If all failed tasks belong to one job, the job may be the cause. It is considered the
-	// cause if it fails on other workers too.
-	isWorkersFault := len(worker.FailedJobs) > 1 || job.ConsecutiveFailures < 2*worker.ConsecutiveFailures
-	if worker.ConsecutiveFailures >= tuning.FaultyWorkerFailures && isWorkersFault && worker.drain(drainReasonFailures) {
-		r.log.Warn("worker quarantined after failures", "worker", worker.ID, "count", worker.ConsecutiveFailures)
-	}
-}
--- a/internal/workers/worker.go
+++ b/internal/workers/worker.go
@@ -143,6 +143,7 @@
 	RefusesUntil        time.Duration   // it gets no tasks before, since it refused one as full
 	ConsecutiveFailures int             // tasks that failed on it since one last completed
 	FailedJobs          map[string]bool // IDs of the jobs of those tasks
+	lastFailureAt       time.Duration
 }
 
 // drain stops new tasks on the worker. It reports whether the worker was not drained before;
@@ -155,14 +156,20 @@
 	return true
 }
 
-func (h *Health) recordFailure(job *taskstate.Job) {
+// recordFailure records that a task of a job has failed on the worker.
+func (h *Health) recordFailure(job *taskstate.Job, now time.Duration) {
 	h.ConsecutiveFailures++
 	h.FailedJobs[job.Spec.ID] = true
+	h.lastFailureAt = now
 }
 
-func (h *Health) recordSuccess() {
-	h.ConsecutiveFailures = 0
-	clear(h.FailedJobs)
+// recordSuccess records that a task has completed on the worker. Only a task that was placed after
+// the last failure shows that the worker is sound: a faulty one may complete what it had started.
+func (h *Health) recordSuccess(task *taskstate.Task) {
+	if task.PlacedAt > h.lastFailureAt {
+		h.ConsecutiveFailures = 0
+		clear(h.FailedJobs)
+	}
 }
 
 // commandDelivery is the state of the direct messages to a worker.
