The leader knows what is held or reserved on a machine

What callers see: a small task waits beside a machine with room for half a minute, since the room is held for an overdue large one, or for as long as gangs of a class keep coming, since it is reserved for them; nothing is rented or recalled for it in that time.

Cause: holds are made by the owner's rounds and were known to nobody else; the reserves for expected gangs are computed by owner and leader separately, each from the gangs that it has seen.

Now the status of a machine tells both (MachineStatus.HeldForJob, HoldMinPriority, Reserved...). The leader counts no room there for other work: for dispatches, recalls, gangs and drains; rentals leave out a machine that is held. Controllers of earlier versions ignore the new fields, or leave them out, and count as before.

--- a/internal/controller/placement_agreement_test.go
+++ b/internal/controller/placement_agreement_test.go
@@ -4,8 +4,11 @@
 	"testing"
 	"time"
 
+	"lemonmoor/internal/jobs"
 	"lemonmoor/internal/placement"
+	"lemonmoor/internal/resource"
 	"lemonmoor/internal/taskstate"
+	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/workers"
 )
 
@@ -73,6 +76,17 @@
 		f.failOn("vm-9")
 	}, places: true},
 	{name: "paused after failures", cause: func(f *agreementFixture) { f.job.Failures.PausedUntil = f.now + 5*second }},
+	{name: "held for another job", cause: func(f *agreementFixture) {
+		f.worker.Hold = workers.Hold{JobID: "wk-1", MinPriority: jobs.PriorityUrgent}
+	}},
+	{name: "held for the job", cause: func(f *agreementFixture) {
+		f.worker.Hold = workers.Hold{JobID: f.job.Spec.ID, MinPriority: jobs.PriorityUrgent}
+	}, places: true},
+	{name: "held for work of lower priority", cause: func(f *agreementFixture) {
+		f.worker.Hold = workers.Hold{JobID: "wk-1", MinPriority: jobs.PriorityStandard}
+	}, places: true},
+	{name: "reserved for gangs", cause: func(f *agreementFixture) { f.worker.Reserved = resource.Vector{CPUs: 9} }},
+	{name: "reserved for gangs in part", cause: func(f *agreementFixture) { f.worker.Reserved = resource.Vector{CPUs: 8} }, places: true},
 }
 
 // TestLeaderCountsRoomWhereTheOwnerPlaces checks, for each reason for which the owner of a shard
@@ -94,3 +108,14 @@
 		})
 	}
 }
+
+// TestReservedRoomIsUsedBeforeTheUsersLimit checks that room reserved for gangs is not kept from a task
+// that has waited for long.
+func TestReservedRoomIsUsedBeforeTheUsersLimit(t *testing.T) {
+	fixture := newAgreementFixture(t)
+	fixture.worker.Reserved = resource.Vector{CPUs: 12}
+	fixture.task.Queue.EnqueuedAt = fixture.now - tuning.StarvedAfter
+	if reason := placement.ExclusionOf(fixture.task, fixture.worker, fixture.now); reason != placement.ExclusionNone {
+		t.Errorf("a task that has waited for %v is kept off the machine: %s", tuning.StarvedAfter, reason)
+	}
+}
--- a/internal/controller/shard_status.go
+++ b/internal/controller/shard_status.go
@@ -136,6 +136,8 @@
 		HasReported: worker.HasReported, AcceptsTasks: s.workers.AcceptsTasks(worker),
 		Busy:          len(worker.Tasks)+worker.UnknownTasks > 0,
 		ReleaseReason: s.workers.ReleaseReason(worker, suspects, reporting),
+		HeldForJob:    worker.Hold.JobID, HoldMinPriority: worker.Hold.MinPriority,
+		ReservedCPUs: worker.Reserved.CPUs, ReservedGPUs: worker.Reserved.GPUs, ReservedMemoryGB: worker.Reserved.MemoryGB,
 	}
 }
 
--- a/internal/controller/task_failures_test.go
+++ b/internal/controller/task_failures_test.go
@@ -182,3 +182,30 @@
 	}
 	return count
 }
+
+// TestHeldMachineKeepsNoWorkWaiting guards against small jobs that wait beside the room of a machine
+// that is held for an overdue large task, while the leader counts that room for them and rents none.
+func TestHeldMachineKeepsNoWorkWaiting(t *testing.T) {
+	const submittedAt = 45 * second
+	sim := newSimulation(4)
+	sim.cloud.available = 1
+	long := newJob(jobSpec{id: jobID(1), team: "blue", tasks: 1, cpus: 8, runTime: 5 * time.Minute, machineTypes: []string{"big"}})
+	large := newJob(jobSpec{id: jobID(2), team: "red", tasks: 1, cpus: 12, runTime: 5 * second, machineTypes: []string{"big"}})
+	small := newJob(jobSpec{id: jobID(3), team: "blue", tasks: 2, cpus: 1, runTime: 5 * second, machineTypes: []string{"big"}})
+	sim.schedule(0, func() { sim.submitAndPoll(long, 0) })
+	sim.schedule(10*second, func() { sim.submitAndPoll(large, 0) })
+	sim.schedule(submittedAt, func() {
+		sim.submitAndPoll(small, 0)
+		sim.cloud.available = 1
+		sim.startRecoveryChecks()
+	})
+	sim.runUntil(3 * time.Minute)
+	sim.checkRules(t)
+	// The cloud boots a machine within five seconds.
+	if waited := small.startedAt - submittedAt; small.startedAt == 0 || waited > 15*second {
+		t.Errorf("the small job waits for %v before it starts, want at most 15 s", waited)
+	}
+	if len(large.completed) < large.tasks {
+		t.Error("the large task has not completed")
+	}
+}
--- a/internal/controller/wire_test.go
+++ b/internal/controller/wire_test.go
@@ -16,7 +16,8 @@
 // shard's status are at the top level, and the drains' report is a field beside them.
 func TestWireStatusMessage(t *testing.T) {
 	wiretest.CheckRoundTrip(t, `{"node":"node-1","block":2,"token":3,"seq":4,"full":true,"lit":["yard-a"],"hosts":[{"id":"vm-1","addr":"10.0.0.1:7",`+
-		`"build":"g8","zone":"yard-a","spot":true,"up":true,"open":true,"idleMs":5,"busy":true,"back":"old"}],`+
+		`"build":"g8","zone":"yard-a","spot":true,"up":true,"open":true,"idleMs":5,"busy":true,"back":"old",`+
+		`"heldFor":"wk-2","heldMin":2,"reservedCpus":1.5,"reservedCards":1,"reservedMemoryGb":6}],`+
 		`"backoffs":[{"job":"wk-1","host":"vm-1","forMs":10000,"fails":true}],"drains":{"machines":[{"id":"vm-1",`+
 		`"tasks":[{"job":"wk-1","index":2,"attempt":3,"runsMs":4}]}],"granted":[{"j":"wk-1","i":5,"a":6,"g":7,"runs":true,"void":true}],`+
 		`"teams":{"red":{"running":{"tasks":8,"cpus":9.5},"disturbed":{"tasks":10,"cpus":11.5}}},"down":{"wk-2":12},"partial":true}}`, &statusMessage{})
--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/resource"
 	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/workers"
 )
 
 // AvailableMachine is a machine that accepts tasks, or will once it has booted.
@@ -15,12 +17,14 @@
 	MachineType *jobs.MachineType
 	Booting     bool
 	ReadyIn     time.Duration // expected remaining boot time
+	Hold        workers.Hold  // by its shard's owner
+	Reserved    resource.Vector
 }
 
-// Accepts reports whether the machine's owner places tasks of a job on it now, as far as the job's
-// backoff is concerned.
-func (m *AvailableMachine) Accepts(backoff *Backoff, now time.Duration) bool {
-	return !backoff.IsPaused(now) && !backoff.Avoids(m.ID, now)
+// Accepts reports whether the machine's owner places tasks of a job on it now, as far as holds and
+// the job's backoff are concerned.
+func (m *AvailableMachine) Accepts(spec *jobs.Spec, backoff *Backoff, now time.Duration) bool {
+	return m.Hold.AcceptsJob(spec.ID, spec.Priority()) && !backoff.IsPaused(now) && !backoff.Avoids(m.ID, now)
 }
 
 // CouldRun reports whether the machine, if it were empty, could run a task of the job in the
@@ -39,7 +43,9 @@
 			continue
 		}
 		available = AvailableMachine{MachineKind: machine.kind, ID: machine.id, Shard: machine.shard, MachineType: machineType, Booting: !machine.reported}
-		if available.Booting {
+		if !available.Booting {
+			available.Hold, available.Reserved = machine.status.hold(), machine.status.reserved()
+		} else {
 			available.ReadyIn = max(0, machine.rentedAt+bootTime(machineType)-f.runtime.Now())
 		}
 		fn(&available)
--- a/internal/fleet/refusing.go
+++ b/internal/fleet/refusing.go
@@ -7,8 +7,9 @@
 )
 
 // capacityFor returns the capacity that a demand can count on: without the machines on which no task
-// of it is placed for longer than tuning.FirstAvoidance, because the job avoids them after repeated
-// failures. A machine that is avoided for a shorter time counts like one that boots.
+// of it is placed for longer than tuning.FirstAvoidance, because they are held for other work or
+// because the job avoids them after repeated failures. A machine that is avoided for a shorter time
+// counts like one that boots.
 func (p *rentalPlan) capacityFor(demand *Demand) fleetCapacity {
 	refusing := p.refusingMachines(demand)
 	if len(refusing) == 0 {
@@ -27,6 +28,11 @@
 // refusingMachines returns the available machines that refuse a demand, see capacityFor.
 func (p *rentalPlan) refusingMachines(demand *Demand) map[*machine]bool {
 	refusing := map[*machine]bool{}
+	for _, m := range p.held {
+		if !m.status.hold().AcceptsJob(demand.Spec.ID, demand.Spec.Priority()) {
+			refusing[m] = true
+		}
+	}
 	later := p.fleet.runtime.Now() + tuning.FirstAvoidance
 	for shard := range p.fleet.shards {
 		backoff := p.fleet.Backoff(demand.Spec.ID, shard)
@@ -41,3 +47,14 @@
 	}
 	return refusing
 }
+
+// heldMachines returns the available machines that are held for overdue work.
+func (f *Fleet) heldMachines() []*machine {
+	var held []*machine
+	for _, m := range f.machines.byID {
+		if m.status.hold().IsSet() && f.isAvailable(m) {
+			held = append(held, m)
+		}
+	}
+	return held
+}
--- a/internal/fleet/rental_plan.go
+++ b/internal/fleet/rental_plan.go
@@ -14,6 +14,7 @@
 type rentalPlan struct {
 	fleet           *Fleet
 	capacity        fleetCapacity // available and planned machines
+	held            []*machine    // available machines that are held for overdue work
 	requestOrder    []MachineKind // kinds in the order in which they are requested
 	plannedMachines map[MachineKind]int
 	// gangMachines are the machines planned for gangs in this round.
@@ -33,7 +34,7 @@
 	if f.types == nil || f.runtime.Now()-f.term.beganAt < tuning.StatusInterval*2 {
 		return
 	}
-	plan := &rentalPlan{fleet: f, capacity: f.sumCapacity(), plannedMachines: map[MachineKind]int{}}
+	plan := &rentalPlan{fleet: f, capacity: f.sumCapacity(), held: f.heldMachines(), plannedMachines: map[MachineKind]int{}}
 	plan.planAll(f.demand.list)
 	for _, kind := range plan.requestOrder {
 		for remaining := plan.plannedMachines[kind]; remaining > 0; remaining -= tuning.MaxRentalMachines {
--- a/internal/fleet/shard_status.go
+++ b/internal/fleet/shard_status.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/resource"
 	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/workers"
 )
 
 // MachineStatus is the state of a machine as its shard owner reports it.
@@ -18,6 +21,24 @@
 	IdleMS        int64  `json:"idleMs,omitempty"` // milliseconds without a task
 	Busy          bool   `json:"busy,omitempty"`   // it runs tasks or may run some
 	ReleaseReason string `json:"back,omitempty"`   // reason for a requested release
+	// HeldForJob is the job for which the machine's room is held, "" if it is not. Of other jobs it
+	// accepts only those of at least HoldMinPriority.
+	HeldForJob      string        `json:"heldFor,omitempty"`
+	HoldMinPriority jobs.Priority `json:"heldMin,omitempty"`
+	// ReservedCPUs, ReservedGPUs and ReservedMemoryGB are reserved for expected gangs.
+	ReservedCPUs     float64 `json:"reservedCpus,omitempty"`
+	ReservedGPUs     float64 `json:"reservedCards,omitempty"`
+	ReservedMemoryGB float64 `json:"reservedMemoryGb,omitempty"`
+}
+
+// hold returns the hold on the machine's room.
+func (s *MachineStatus) hold() workers.Hold {
+	return workers.Hold{JobID: s.HeldForJob, MinPriority: s.HoldMinPriority}
+}
+
+// reserved returns the resources that are reserved for expected gangs.
+func (s *MachineStatus) reserved() resource.Vector {
+	return resource.Vector{CPUs: s.ReservedCPUs, GPUs: s.ReservedGPUs, MemoryGB: s.ReservedMemoryGB}
 }
 
 // ShardStatus is a shard owner's status message. It contains all machines of the shard, or those
--- a/internal/fleet/wire_test.go
+++ b/internal/fleet/wire_test.go
@@ -11,7 +11,8 @@
 // TestWireStatus checks the JSON of a shard owner's status message and of the leader's reply.
 func TestWireStatus(t *testing.T) {
 	wiretest.CheckRoundTrip(t, `{"node":"node-1","block":2,"token":3,"seq":4,"full":true,"lit":["yard-a"],"hosts":[{"id":"vm-1","addr":"10.0.0.1:7",`+
-		`"build":"g8","zone":"yard-a","spot":true,"up":true,"open":true,"idleMs":5,"busy":true,"back":"old"}],`+
+		`"build":"g8","zone":"yard-a","spot":true,"up":true,"open":true,"idleMs":5,"busy":true,"back":"old",`+
+		`"heldFor":"wk-2","heldMin":2,"reservedCpus":1.5,"reservedCards":1,"reservedMemoryGb":6}],`+
 		`"backoffs":[{"job":"wk-1","host":"vm-1","forMs":10000,"fails":true}]}`, &ShardStatus{})
 	wiretest.CheckEncoding(t, ShardStatus{}, `{"node":"","block":0,"token":0,"seq":0,"hosts":null}`)
 	wiretest.CheckEncoding(t, MachineStatus{}, `{"id":"","addr":"","build":"","zone":"","spot":false,"up":false,"open":false}`)
--- a/internal/leader/capacity.go
+++ b/internal/leader/capacity.go
@@ -8,6 +8,7 @@
 	"lemonmoor/internal/jobs"
 	"lemonmoor/internal/resource"
 	"lemonmoor/internal/tuning"
+	"lemonmoor/internal/workers"
 )
 
 // anyShard in place of a shard number selects all shards.
@@ -17,23 +18,28 @@
 type machineCapacity struct {
 	id        string
 	available resource.Vector
-	reserved  resource.Vector // room for gangs and starved jobs only
+	reserved  resource.Vector // by the leader: room for gangs and starved jobs only
 	cache     *machineCache   // nil if no cached image is known
+	// hold and ownerReserved are what the shard's owner keeps for overdue work and for gangs.
+	hold          workers.Hold
+	ownerReserved resource.Vector
 }
 
 // taskCount returns how many tasks of a job the machine has room for on which its shard's owner would
 // place them now. Gangs may use reserved room, other jobs may not unless they are starved.
 func (m *machineCapacity) taskCount(request *roomRequest, backoff *fleet.Backoff) int {
 	switch {
-	case backoff.Avoids(m.id, request.now):
+	case !m.hold.AcceptsJob(request.spec.ID, request.priority) || backoff.Avoids(m.id, request.now):
 		return 0
 	case request.spec.IsGang() || request.starved:
 		return request.spec.Resources().CountIn(m.available)
 	}
-	return m.unreservedTaskCount(request.spec)
+	// The shard's owner and the leader reserve separately, and often the same room.
+	return min(m.unreservedTaskCount(request.spec), request.spec.Resources().CountIn(m.available.Minus(m.ownerReserved)))
 }
 
-// unreservedTaskCount returns how many tasks of a job fit into the unreserved room.
+// unreservedTaskCount returns how many tasks of a job fit into the room that the leader has not
+// reserved.
 func (m *machineCapacity) unreservedTaskCount(spec *jobs.Spec) int {
 	return spec.Resources().CountIn(m.available.Minus(m.reserved))
 }
@@ -51,6 +57,7 @@
 // roomRequest is a job for whose tasks room is counted or allocated.
 type roomRequest struct {
 	spec     *jobs.Spec
+	priority jobs.Priority
 	starved  bool // has waited too long to leave reserved room unused
 	backoffs backoffSource
 	now      time.Duration
@@ -67,7 +74,7 @@
 
 // roomFor returns the request of a job for room.
 func (v *capacityView) roomFor(spec *jobs.Spec, starved bool) *roomRequest {
-	return &roomRequest{spec: spec, starved: starved, backoffs: v.backoffs, now: v.now}
+	return &roomRequest{spec: spec, priority: spec.Priority(), starved: starved, backoffs: v.backoffs, now: v.now}
 }
 
 // machineGroup is the machines of one kind in one shard that are either all up or all
@@ -149,7 +156,8 @@
 			view.groups = append(view.groups, group)
 		}
 		capacity := machineCapacity{
-			id:        machine.ID,
+			id:   machine.ID,
+			hold: machine.Hold, ownerReserved: machine.Reserved,
 			available: usage.available(machine.ID, machine.MachineType),
 			cache:     usage.recordAvailable(machine.ID, machine.MachineType, now),
 		}
--- a/internal/leader/capacity_test.go
+++ b/internal/leader/capacity_test.go
@@ -9,6 +9,7 @@
 	"lemonmoor/internal/fleet"
 	"lemonmoor/internal/jobs"
 	"lemonmoor/internal/resource"
+	"lemonmoor/internal/workers"
 )
 
 // drawnBackoffs are the backoffs of the test's job, by shard.
@@ -41,6 +42,17 @@
 // machineIDs are the IDs of the drawn machines; several may have the same one.
 var machineIDs = []string{"vm-0", "vm-1", "vm-2", "vm-3"}
 
+// drawHold draws a hold on a machine, mostly none.
+func drawHold(t *rapid.T) workers.Hold {
+	if rapid.IntRange(0, 3).Draw(t, "held") > 0 {
+		return workers.Hold{}
+	}
+	return workers.Hold{
+		JobID:       rapid.SampledFrom([]string{testJobID, "wk-2"}).Draw(t, "held for"),
+		MinPriority: jobs.Priority(rapid.IntRange(1, 4).Draw(t, "minimum priority")),
+	}
+}
+
 // drawCapacityView draws groups of machines of two types, each machine with some free capacity.
 func drawCapacityView(t *rapid.T) *capacityView {
 	view := &capacityView{totalCPUs: make([]float64, 2), queuedCPUs: make([]float64, 2), backoffs: drawBackoffs(t)}
@@ -60,7 +72,7 @@
 		}
 		for range rapid.IntRange(0, 5).Draw(t, "machines") {
 			group.machines = append(group.machines, machineCapacity{
-				id: rapid.SampledFrom(machineIDs).Draw(t, "id"),
+				id: rapid.SampledFrom(machineIDs).Draw(t, "id"), hold: drawHold(t),
 				available: resource.Vector{
 					CPUs:     rapid.Float64Range(0.5, machineType.CPUs).Draw(t, "cpus"),
 					MemoryGB: rapid.Float64Range(0.5, machineType.MemoryGB).Draw(t, "memory"),
@@ -83,7 +95,8 @@
 func (v *capacityView) roomIn(group *machineGroup, spec *jobs.Spec) int {
 	room := 0
 	for _, machine := range group.machines {
-		if !v.backoffs.Backoff(spec.ID, group.shard).Avoids(machine.id, 0) {
+		heldForOther := machine.hold.JobID != "" && machine.hold.JobID != spec.ID && spec.Priority() < machine.hold.MinPriority
+		if !heldForOther && !v.backoffs.Backoff(spec.ID, group.shard).Avoids(machine.id, 0) {
 			room += spec.Resources().CountIn(machine.available)
 		}
 	}
@@ -113,7 +126,7 @@
 			freeBefore[group] = freeCPUs(t, group)
 		}
 		job := &jobState{spec: &jobs.Spec{
-			ID:   testJobID,
+			ID: testJobID, Urgency: rapid.SampledFrom([]string{"low", "standard", "urgent"}).Draw(t, "urgency"),
 			CPUs: rapid.SampledFrom([]float64{0.5, 1, 4, 16}).Draw(t, "task"), MemoryGB: rapid.SampledFrom([]float64{0, 1, 40}).Draw(t, "gb"),
 			Spot: rapid.Bool().Draw(t, "spot allowed"), Zone: rapid.SampledFrom([]string{"", "a"}).Draw(t, "only zone"),
 		}}
--- a/internal/leader/fixture_test.go
+++ b/internal/leader/fixture_test.go
@@ -16,6 +16,7 @@
 	"lemonmoor/internal/statetest"
 	"lemonmoor/internal/taskstate"
 	"lemonmoor/internal/userapi"
+	"lemonmoor/internal/workers"
 )
 
 // processRuntime is the runtime of one process. Once the process is killed nothing is sent or
@@ -69,6 +70,7 @@
 	metrics  *metrics.Metrics
 	statuses uint64
 	backoffs []fleet.JobBackoff // that the owner of shard 0 reports
+	hold     workers.Hold       // on the machine of shard 0
 }
 
 // startNode returns a started controller with one shard that tries to acquire the leadership.
@@ -150,10 +152,11 @@
 			ID: fmt.Sprintf("vm-%d", shard+n.config.shards), MachineType: "g8", Zone: n.config.zones[shard%len(n.config.zones)],
 			HasReported: true, AcceptsTasks: true,
 		}
-		status := &fleet.ShardStatus{Shard: shard, Full: true, Token: 1, Seq: n.statuses, Hosts: []fleet.MachineStatus{machine}}
+		status := &fleet.ShardStatus{Shard: shard, Full: true, Token: 1, Seq: n.statuses}
 		if shard == 0 {
-			status.Backoffs = n.backoffs
+			status.Backoffs, machine.HeldForJob, machine.HoldMinPriority = n.backoffs, n.hold.JobID, n.hold.MinPriority
 		}
+		status.Hosts = []fleet.MachineStatus{machine}
 		n.fleet.HandleStatus(status)
 	}
 	n.leader.RequestRound()
--- a/internal/leader/queries.go
+++ b/internal/leader/queries.go
@@ -19,8 +19,12 @@
 	tasks := 0
 	now := l.runtime.Now()
 	l.fleet.EachAvailable(func(machine *fleet.AvailableMachine) {
-		if !machine.Booting && machine.CouldRun(spec, zone) && machine.Accepts(l.fleet.Backoff(spec.ID, machine.Shard), now) {
-			tasks += spec.Resources().CountIn(l.machines.available(machine.ID, machine.MachineType))
+		if !machine.Booting && machine.CouldRun(spec, zone) && machine.Accepts(spec, l.fleet.Backoff(spec.ID, machine.Shard), now) {
+			available := l.machines.available(machine.ID, machine.MachineType)
+			if !spec.IsGang() {
+				available = available.Minus(machine.Reserved)
+			}
+			tasks += spec.Resources().CountIn(available)
 		}
 	})
 	return tasks
--- a/internal/leader/refused_room_test.go
+++ b/internal/leader/refused_room_test.go
@@ -7,14 +7,17 @@
 
 	"lemonmoor/internal/fleet"
 	"lemonmoor/internal/jobs"
+	"lemonmoor/internal/resource"
 	"lemonmoor/internal/statetest"
 	"lemonmoor/internal/taskstate"
+	"lemonmoor/internal/workers"
 )
 
 // refusedRoomCase is a way in which the owner of shard 0 may refuse its only machine, vm-2, to wk-1.
 type refusedRoomCase struct {
 	name     string
 	backoffs []fleet.JobBackoff
+	hold     workers.Hold
 	refused  bool
 }
 
@@ -23,6 +26,8 @@
 	{name: "failed there", backoffs: []fleet.JobBackoff{{Job: "wk-1", MachineID: "vm-2", ForMS: 3_600_000}}, refused: true},
 	{name: "failed on another machine", backoffs: []fleet.JobBackoff{{Job: "wk-1", MachineID: "vm-9", ForMS: 3_600_000}}},
 	{name: "the wait is over", backoffs: []fleet.JobBackoff{{Job: "wk-1", MachineID: "vm-2"}}},
+	{name: "held for another job", hold: workers.Hold{JobID: "wk-2", MinPriority: jobs.PriorityCritical}, refused: true},
+	{name: "held for the job", hold: workers.Hold{JobID: "wk-1", MinPriority: jobs.PriorityCritical}},
 }
 
 // TestTasksThatTheirShardDoesNotPlaceAreRecalled guards against tasks that wait in a shard whose owner
@@ -38,7 +43,7 @@
 				submit(t, service, spec)
 				putRecord(t, service, spec.ID, 0, 0, 1)
 				node := startProcess(service, twoZones)
-				node.backoffs = test.backoffs
+				node.backoffs, node.hold = test.backoffs, test.hold
 				node.run(8 * time.Second)
 				recalled := slices.Contains(node.leader.TakeRecalls(0), fleet.Recall{Job: spec.ID, Tasks: 2})
 				if recalled != test.refused {
@@ -57,7 +62,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			service := statetest.New()
 			node := startProcess(service, twoZones)
-			node.backoffs = test.backoffs
+			node.backoffs, node.hold = test.backoffs, test.hold
 			node.run(3 * time.Second)
 			spec := newSpec("wk-1", 2)
 			submit(t, service, spec)
@@ -73,3 +78,29 @@
 		})
 	}
 }
+
+// TestLeaderLeavesRoomThatTheOwnerReserves checks that arrays are dispatched to no room that the owner
+// of the shard reserves for gangs, and starved ones are.
+func TestLeaderLeavesRoomThatTheOwnerReserves(t *testing.T) {
+	machine := machineCapacity{available: resource.Vector{CPUs: 8, MemoryGB: 8}, ownerReserved: resource.Vector{CPUs: 6, MemoryGB: 6}}
+	spec := &jobs.Spec{ID: "wk-1", CPUs: 1, MemoryGB: 1}
+	gang := &jobs.Spec{ID: "wk-2", Shape: jobs.ShapeGang, CPUs: 1, MemoryGB: 1}
+	view := &capacityView{backoffs: &drawnBackoffs{}}
+	for _, test := range []struct {
+		name    string
+		request *roomRequest
+		room    int
+	}{
+		{"array", view.roomFor(spec, false), 2},
+		{"starved array", view.roomFor(spec, true), 8},
+		{"gang", view.roomFor(gang, false), 8},
+	} {
+		if got := machine.taskCount(test.request, nil); got != test.room {
+			t.Errorf("%s: room for %d tasks, want %d", test.name, got, test.room)
+		}
+	}
+	machine.reserved = resource.Vector{CPUs: 7}
+	if got := machine.taskCount(view.roomFor(spec, false), nil); got != 1 {
+		t.Errorf("beside the leader's own reserve: room for %d tasks, want 1", got)
+	}
+}
--- a/internal/placement/fits.go
+++ b/internal/placement/fits.go
@@ -6,6 +6,7 @@
 
 	"lemonmoor/internal/resource"
 	"lemonmoor/internal/taskstate"
+	"lemonmoor/internal/tuning"
 	"lemonmoor/internal/workers"
 )
 
@@ -18,9 +19,12 @@
 		(spec.Spot || !worker.Spot)
 }
 
-// fits reports whether a task can be placed on a machine now without using the room that is
-// reserved for gangs.
+// fits reports whether a task can be placed on a machine now. The room that is reserved for gangs is
+// left to them, unless the task has waited for as long as work may wait beside room.
 func fits(task *taskstate.Task, worker *workers.Worker, now time.Duration) bool {
+	if now-task.Queue.EnqueuedAt >= tuning.StarvedAfter {
+		return fitsWithReserved(task, worker, now)
+	}
 	return fitsIn(task, worker, worker.Free().Minus(worker.Reserved), now)
 }
 
