Fleet: the idle machines that a waiting gang is to use stay

Seen with a gang that fails on every machine (simulated machines): its only machine is returned as idle while the gang is on its way back from the shard to the leader, and another one is rented for it.

Cause: of the machines that a waiting job is to use one is retained, which is not enough for a gang on several; gangs in the queue of a shard that have room there, or whose machines boot, reported nothing; and for a moment between two dispatches a job is in no queue, so that one round sufficed to release.

A gang that has room retains as many idle machines as it needs (Fleet.recordAwaited); a machine stays for 5 s after it was last needed; and a gang that may fail everywhere asks for all of its machines, since it cannot run on one.

--- a/internal/controller/task_failures_test.go
+++ b/internal/controller/task_failures_test.go
@@ -139,14 +139,16 @@
 // is not cancelled, neither has machines quarantined nor rented one after the other, and that its
 // tasks are not started again and again.
 func TestJobThatFailsEverywhereWearsOutNoMachine(t *testing.T) {
-	for _, tasks := range []int{1, 5, 40} {
-		for _, machines := range []int{1, 12} {
-			t.Run(fmt.Sprint(tasks, " tasks, ", machines, " machines"), func(t *testing.T) {
+	for _, shape := range []jobSpec{{tasks: 1}, {tasks: 5}, {tasks: 40}, {tasks: 2, gang: true}, {tasks: 3, gang: true}} {
+		for _, machines := range []int{1, 2, 12} {
+			t.Run(fmt.Sprint(shape.tasks, " tasks, gang ", shape.gang, ", ", machines, " machines"), func(t *testing.T) {
 				spec := failureJob
-				spec.tasks, spec.failsEverywhere = tasks, true
+				spec.tasks, spec.gang, spec.failsEverywhere = shape.tasks, shape.gang, true
 				day := newFailureDay(3, machines, spec)
 				rented := 0
-				day.schedule(failingAt+60*second, func() { rented = day.cloud.lastMachine })
+				day.runWhen(func() bool { return day.failures() > 0 }, func() {
+					day.schedule(60*second, func() { rented = day.cloud.lastMachine })
+				})
 				day.runUntil(6 * time.Minute)
 				day.checkRules(t)
 				if quarantined := day.quarantined(); quarantined > 0 {
@@ -157,7 +159,7 @@
 				}
 				// At most one round of its tasks for each pause, which grows to a minute.
 				const rounds = 16
-				if most := rounds * tasks; day.failures() > most {
+				if most := rounds * spec.tasks; day.failures() > most {
 					t.Errorf("%d tasks of the job have failed, want at most %d", day.failures(), most)
 				}
 			})
--- a/internal/fleet/idle_test.go
+++ b/internal/fleet/idle_test.go
@@ -11,8 +11,8 @@
 // job that it is to run, at once or after a pause, waits, and another one that is rented for it then.
 func TestIdleMachineOfAWaitingJobIsRetained(t *testing.T) {
 	spec := &jobs.Spec{ID: "wk-1", Urgency: "standard", CPUs: 4, MemoryGB: 4, EstimateSeconds: 10}
-	elsewhere := *spec
-	elsewhere.Zone = "b"
+	elsewhere, gang := *spec, *spec
+	elsewhere.Zone, gang.Shape = "b", jobs.ShapeGang
 	for _, test := range []struct {
 		name     string
 		demands  []Demand
@@ -22,6 +22,8 @@
 		{name: "nothing waits", released: 2},
 		{name: "tasks are queued", demands: []Demand{{Spec: spec, Queued: 3}}, released: 1},
 		{name: "tasks need more machines", demands: []Demand{{Spec: spec, Tasks: 3}}, released: 1},
+		{name: "a gang that one machine holds is queued", demands: []Demand{{Spec: &gang, Queued: 8}}, released: 1},
+		{name: "a gang that needs two is queued", demands: []Demand{{Spec: &gang, Queued: 9}}, released: 0},
 		{name: "the quota holds them back", demands: []Demand{{Spec: spec, HeldByQuota: 3}}, released: 2},
 		{name: "tasks of another zone", demands: []Demand{{Spec: &elsewhere, Queued: 3}}, released: 2},
 		{name: "tasks are placed there by the records", load: 4, released: 0},
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -41,6 +41,7 @@
 	// status is the latest one received from a shard owner.
 	status    MachineStatus
 	idleSince time.Duration
+	awaitedAt time.Duration // when a job that waits was last known to need it, see recordAwaited
 }
 
 // machineListing is the state of a machine according to the cloud's machine list.
--- a/internal/fleet/releases.go
+++ b/internal/fleet/releases.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"lemonmoor/internal/term"
@@ -21,7 +22,7 @@
 func (f *Fleet) evaluateMachines() {
 	machines, idle := f.countMachines()
 	f.recordPartitions()
-	awaited := f.machinesAwaited()
+	f.recordAwaited()
 	maxIdle := max(tuning.MinIdleMachines, int(tuning.IdleMachineShare*float64(machines)))
 	for _, machine := range f.machines.byID {
 		switch {
@@ -32,7 +33,7 @@
 			if machine.isSilent() && !f.isRetained(machine) {
 				f.requestRelease(machine, machine.status.ReleaseReason)
 			}
-			if !awaited[machine] && f.isDispensable(machine, idle > maxIdle) {
+			if f.isDispensable(machine, idle > maxIdle) {
 				machine.drainReason = drainIdle // its owner stops assigning tasks, then requests the release
 				idle--
 			}
@@ -70,7 +71,10 @@
 	if f.demand.wasStalled(now) {
 		return false
 	}
-	return !f.isAwaitedByGang(machine) || now-machine.idleSince >= tuning.GangIdleRetention
+	if f.isAwaitedByGang(machine) && now-machine.idleSince < tuning.GangIdleRetention {
+		machine.awaitedAt = now
+	}
+	return now-machine.awaitedAt >= tuning.AwaitedMachineGrace
 }
 
 // idleTimeout returns how long an idle machine is retained. manyIdle is set when more machines
@@ -105,49 +109,67 @@
 	return false
 }
 
-// machinesAwaited returns, for each job that waits, one idle machine that it may use: it will be placed
-// there soon, or after a pause. Otherwise that machine would be released, and another one rented when
-// the job is placed again. Further machines for gangs are retained by isAwaitedByGang.
-func (f *Fleet) machinesAwaited() map[*machine]bool {
-	awaited := map[*machine]bool{}
+// recordAwaited records which idle machines are to run a job that waits: it will be placed there soon,
+// or after a pause. Otherwise they would be released, and others rented when the job is placed again.
+// One is retained for each job, for a gang as many as it needs. While a gang needs more machines than
+// there are, isAwaitedByGang retains all.
+func (f *Fleet) recordAwaited() {
 	if len(f.demand.list) == 0 {
-		return awaited
+		return
 	}
-	idle := f.firstIdleByKind()
+	idle := f.idleByKind()
+	kinds := slices.SortedFunc(maps.Keys(idle), compareKinds)
 	for i := range f.demand.list {
 		demand := &f.demand.list[i]
-		waits := demand.Queued > 0 || demand.Tasks > 0 && !demand.Spec.IsGang()
-		if !waits {
-			continue
+		remaining := demand.Queued // tasks
+		if !demand.Spec.IsGang() {
+			remaining = min(1, demand.Queued+demand.Tasks)
 		}
-		for _, m := range idle {
-			if f.emptyMachine(m.kind).CouldRun(demand.Spec, demand.Zone) {
-				awaited[m] = true
-				break
+		for _, kind := range kinds {
+			if remaining > 0 && f.emptyMachine(kind).CouldRun(demand.Spec, demand.Zone) {
+				remaining -= f.awaitMachines(idle[kind], remaining, tasksOn(f.MachineType(kind.MachineType), demand.Spec))
 			}
 		}
 	}
-	return awaited
 }
 
-// firstIdleByKind returns, of the idle machines of each kind, the one with the lowest ID, the kinds in
-// order.
-func (f *Fleet) firstIdleByKind() []*machine {
-	first := map[MachineKind]*machine{}
-	for _, m := range f.machines.byID {
-		if !f.isIdle(m) || f.MachineType(m.kind.MachineType) == nil {
-			continue
-		}
-		if known := first[m.kind]; known == nil || m.id < known.id {
-			first[m.kind] = m
+// awaitMachines records as many of the machines as awaited as a number of tasks need, of which each
+// machine holds tasksEach, and returns for how many tasks there is room.
+func (f *Fleet) awaitMachines(machines []*machine, tasks, tasksEach int) int {
+	room := 0
+	for _, m := range machines {
+		if room >= tasks {
+			break
 		}
+		m.awaitedAt = f.runtime.Now()
+		room += tasksEach
 	}
-	return slices.SortedFunc(maps.Values(first), func(a, b *machine) int {
-		if a.kind.Before(b.kind) {
-			return -1
+	return room
+}
+
+// idleByKind returns the idle machines of each kind, in the order of their IDs.
+func (f *Fleet) idleByKind() map[MachineKind][]*machine {
+	idle := map[MachineKind][]*machine{}
+	for _, m := range f.machines.byID {
+		if f.isIdle(m) && f.MachineType(m.kind.MachineType) != nil {
+			idle[m.kind] = append(idle[m.kind], m)
 		}
+	}
+	for _, machines := range idle {
+		slices.SortFunc(machines, func(a, b *machine) int { return strings.Compare(a.id, b.id) })
+	}
+	return idle
+}
+
+// compareKinds compares kinds of machines in the order of MachineKind.Before, for sorting.
+func compareKinds(a, b MachineKind) int {
+	switch {
+	case a.Before(b):
+		return -1
+	case b.Before(a):
 		return 1
-	})
+	}
+	return 0
 }
 
 // evaluateUnreported requests the release of a machine that should have reported by now.
--- a/internal/leader/dispatch.go
+++ b/internal/leader/dispatch.go
@@ -39,14 +39,15 @@
 }
 
 // addDemand adds demand for tasks that could run now if there were machines for them. More machines
-// do not help a job whose tasks fail on every machine: it gets one if there is none. A job that a
-// shard's owner has paused after failures gets none.
+// do not help a job whose tasks fail on every machine: unless it is a gang, which needs all of its
+// machines to run at all, it gets one if there is none. A job that a shard's owner has paused after
+// failures gets none.
 func (r *dispatchRound) addDemand(job *jobState, zone string, tasks int) {
 	if tasks > 0 && r.leader.fleet.IsPaused(job.spec.ID) {
 		r.addQueued(job, zone, tasks)
 		return
 	}
-	if tasks > 0 && r.leader.fleet.MayFailEverywhere(job.spec.ID) {
+	if tasks > 0 && !job.spec.IsGang() && r.leader.fleet.MayFailEverywhere(job.spec.ID) {
 		tasks = 1
 	}
 	if tasks > 0 {
--- a/internal/leader/gang_queue.go
+++ b/internal/leader/gang_queue.go
@@ -25,7 +25,7 @@
 	}
 	tasksByZone := r.queuedTasksOfGang(job, tasks)
 	if r.capacity.fits(job.spec, tasksByZone, shard, scopeUp) {
-		r.capacity.occupyByZone(job, tasksByZone, shard)
+		r.occupyForGang(job, tasksByZone, shard)
 		return
 	}
 	if tasks == job.spec.Tasks && r.shouldRecallGang(job, shard) {
@@ -33,7 +33,7 @@
 		return
 	}
 	if r.capacity.fits(job.spec, tasksByZone, shard, scopeBooting) {
-		r.capacity.occupyByZone(job, tasksByZone, shard)
+		r.occupyForGang(job, tasksByZone, shard)
 		return
 	}
 	for zone, count := range tasksByZone {
@@ -41,6 +41,15 @@
 	}
 }
 
+// occupyForGang allocates room in a shard for the tasks of a gang that wait there, and reports them to
+// the fleet.
+func (r *dispatchRound) occupyForGang(job *jobState, tasksByZone map[string]int, shard int) {
+	r.capacity.occupyByZone(job, tasksByZone, shard)
+	for zone, count := range tasksByZone {
+		r.addQueued(job, zone, count)
+	}
+}
+
 // queuedTasksOfGang counts the waiting tasks of a gang by zone. tasks is their total number.
 func (r *dispatchRound) queuedTasksOfGang(job *jobState, tasks int) map[string]int {
 	if len(job.zones) <= 1 {
--- a/internal/tuning/cloud.go
+++ b/internal/tuning/cloud.go
@@ -97,6 +97,10 @@
 	// MinIdleTimeoutShare is the minimum fraction of MachineIdleTimeout for which an ordinary
 	// machine is retained. It costs several times as much as a spot machine.
 	MinIdleTimeoutShare = 0.3
+	// AwaitedMachineGrace is how long an idle machine is retained after a waiting job was last known
+	// to need it. While a job is returned to the leader and dispatched again, it is in no queue for
+	// a moment.
+	AwaitedMachineGrace = 5 * time.Second
 	// IdleMachineShare is the fraction of the machines that may be idle for the whole of
 	// MachineIdleTimeout. While more are idle, and more than MinIdleMachines, idle machines
 	// are released after MinIdleTimeoutShare of it, as soon as expensive ones are.
