--- a/internal/controller/placement_agreement_test.go
+++ b/internal/controller/placement_agreement_test.go
@@ -119,3 +119,22 @@
 		t.Errorf("a task that has waited for %v is kept off the machine: %s", tuning.StarvedAfter, reason)
 	}
 }
+
+// TestOwnerTellsThatAJobMayFailEverywhere checks that the leader learns with the next status message
+// that a job may have been submitted with a mistake, and that it is sound again.
+func TestOwnerTellsThatAJobMayFailEverywhere(t *testing.T) {
+	fixture := newAgreementFixture(t)
+	tells := func() bool {
+		fixture.leader.receiveStatus(fixture.owner.nextStatus())
+		return fixture.leader.fleet.MayFailEverywhere(fixture.job.Spec.ID)
+	}
+	if fixture.failOn(fixture.worker.ID); tells() {
+		t.Error("told after failures on one machine")
+	}
+	if fixture.failOn("vm-9"); !tells() {
+		t.Error("not told after failures on two machines")
+	}
+	if fixture.job.Failures.TaskCompleted(); tells() {
+		t.Error("still told after a completion")
+	}
+}
--- a/internal/leader/refused_room_test.go
+++ b/internal/leader/refused_room_test.go
@@ -10,6 +10,7 @@
 	"lemonmoor/internal/resource"
 	"lemonmoor/internal/statetest"
 	"lemonmoor/internal/taskstate"
+	"lemonmoor/internal/userapi"
 	"lemonmoor/internal/workers"
 )
 
@@ -104,3 +105,37 @@
 		t.Errorf("beside the leader's own reserve: room for %d tasks, want 1", got)
 	}
 }
+
+// TestDemandOfJobsThatFail checks how many machines the tasks of a job ask for after failures: a paused
+// job for none, and one that may fail everywhere for one, since more would not help it. A gang needs
+// all of its machines to run at all.
+func TestDemandOfJobsThatFail(t *testing.T) {
+	paused := fleet.JobBackoff{Job: "wk-1", ForMS: 3_600_000}
+	failsEverywhere := fleet.JobBackoff{Job: "wk-1", MayFailEverywhere: true}
+	for _, test := range []struct {
+		name          string
+		shape         jobs.Shape
+		backoffs      []fleet.JobBackoff
+		tasks, queued int
+	}{
+		{name: "no failure", shape: jobs.ShapeArray, tasks: 5},
+		{name: "another job fails", shape: jobs.ShapeArray, backoffs: []fleet.JobBackoff{{Job: "wk-2", ForMS: 3_600_000, MayFailEverywhere: true}}, tasks: 5},
+		{name: "paused", shape: jobs.ShapeArray, backoffs: []fleet.JobBackoff{paused}, queued: 5},
+		{name: "may fail everywhere", shape: jobs.ShapeArray, backoffs: []fleet.JobBackoff{failsEverywhere}, tasks: 1},
+		{name: "a paused gang", shape: jobs.ShapeGang, backoffs: []fleet.JobBackoff{paused}, queued: 5},
+		{name: "a gang that may fail everywhere", shape: jobs.ShapeGang, backoffs: []fleet.JobBackoff{failsEverywhere}, tasks: 5},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			node := startProcess(statetest.New(), twoZones)
+			node.backoffs = test.backoffs
+			node.run(3 * time.Second)
+			spec := newSpec("wk-1", 5)
+			spec.Shape = test.shape
+			round := &dispatchRound{leader: node.leader}
+			round.addDemand(&jobState{spec: spec, entry: &userapi.Entry{ID: spec.ID}}, "", 5)
+			if len(round.demands) != 1 || round.demands[0].Tasks != test.tasks || round.demands[0].Queued != test.queued {
+				t.Errorf("demands %+v, want one of %d tasks and %d queued ones", round.demands, test.tasks, test.queued)
+			}
+		})
+	}
+}
