--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -16,6 +16,7 @@
 //	sim_job, _user, _workload   jobs, the users' requests, mixes of jobs
 //	sim_operator                operators' requests for drains
 //	sim_rule_checker            the rules of PROTOCOL, one function for each
+//	sim_waiting_checker         jobs that wait although a machine has room
 //	sim_budget_checker          the budgets of drains
 //	fault_injection             the table of faults by name
 //	two_faults                  scenarios that combine two faults
