Leader: a gang that is paused after failures is not recalled

A job that its shard's owner has paused is left there: its tasks would fail in another shard too. That held for arrays; a gang was recalled, since the leader counts no room for it in the shard, and with that its pause would have been over. Found by reading, when the guards were taken out one by one: without the check for arrays no test failed. TestTasksThatTheirShardDoesNotPlaceAreRecalled has both now (the gang's case failed before), and TestQueuedTasksAreReportedToTheFleet and TestGangIsNotSentToAvoidedMachines hold two more guards that had no test.

--- a/internal/leader/gang_queue.go
+++ b/internal/leader/gang_queue.go
@@ -16,7 +16,8 @@
 
 // planQueuedPart plans the tasks of a gang that wait in one shard. It recalls them if a part of
 // the gang has been returned or if shouldRecallGang says so. Otherwise it allocates room to
-// them if there is enough for all, or adds demand for machines.
+// them if there is enough for all, or adds demand for machines. A gang that the shard's owner has
+// paused after failures stays where it is.
 func (r *dispatchRound) planQueuedPart(job *jobState, shard, tasks int) {
 	if job.isPartlyReturned() {
 		// A part of the gang has been returned: the rest is recalled too.
@@ -24,6 +25,10 @@
 		return
 	}
 	tasksByZone := r.queuedTasksOfGang(job, tasks)
+	if r.capacity.isPaused(job.spec, shard) {
+		r.reportQueued(job, tasksByZone)
+		return
+	}
 	if r.capacity.fits(job.spec, tasksByZone, shard, scopeUp) {
 		r.occupyForGang(job, tasksByZone, shard)
 		return
@@ -45,6 +50,11 @@
 // the fleet.
 func (r *dispatchRound) occupyForGang(job *jobState, tasksByZone map[string]int, shard int) {
 	r.capacity.occupyByZone(job, tasksByZone, shard)
+	r.reportQueued(job, tasksByZone)
+}
+
+// reportQueued reports tasks of a gang, by zone, that wait in a shard and need no further machines.
+func (r *dispatchRound) reportQueued(job *jobState, tasksByZone map[string]int) {
 	for zone, count := range tasksByZone {
 		r.addQueued(job, zone, count)
 	}
--- a/internal/leader/refused_room_test.go
+++ b/internal/leader/refused_room_test.go
@@ -36,7 +36,9 @@
 // recalled for the machine of another shard, gangs too.
 func TestTasksThatTheirShardDoesNotPlaceAreRecalled(t *testing.T) {
 	for _, shape := range []jobs.Shape{jobs.ShapeArray, jobs.ShapeGang} {
-		for _, test := range refusedRoomCases {
+		// The tasks of a paused job would fail elsewhere too.
+		paused := refusedRoomCase{name: "paused", backoffs: []fleet.JobBackoff{{Job: "wk-1", ForMS: 3_600_000}}}
+		for _, test := range append(slices.Clone(refusedRoomCases), paused) {
 			t.Run(string(shape)+" "+test.name, func(t *testing.T) {
 				service := statetest.New()
 				spec := newSpec("wk-1", 2)
@@ -139,3 +141,39 @@
 		})
 	}
 }
+
+// TestQueuedTasksAreReportedToTheFleet checks that tasks for which their shard has room, or which are
+// paused there, are reported as queued, so that the idle machines they are to use stay.
+func TestQueuedTasksAreReportedToTheFleet(t *testing.T) {
+	for _, shape := range []jobs.Shape{jobs.ShapeArray, jobs.ShapeGang} {
+		for _, backoffs := range [][]fleet.JobBackoff{nil, {{Job: "wk-1", ForMS: 3_600_000}}} {
+			service := statetest.New()
+			spec := newSpec("wk-1", 2)
+			spec.Shape = shape
+			submit(t, service, spec)
+			putRecord(t, service, spec.ID, 0, 0, 1)
+			node := startProcess(service, twoZones)
+			node.backoffs = backoffs
+			node.run(3 * time.Second)
+			round := &dispatchRound{leader: node.leader, capacity: newCapacityView(2, node.fleet, node.leader.machines, service.Now())}
+			round.planQueuedTasks()
+			if len(round.demands) != 1 || round.demands[0].Queued != 2 || round.demands[0].Tasks != 0 {
+				t.Errorf("%s, %d backoffs: demands %+v, want one of two queued tasks", shape, len(backoffs), round.demands)
+			}
+		}
+	}
+}
+
+// TestGangIsNotSentToAvoidedMachines checks that a machine that a gang avoids does not count as one that
+// could hold it.
+func TestGangIsNotSentToAvoidedMachines(t *testing.T) {
+	node := startProcess(statetest.New(), twoZones)
+	node.backoffs = []fleet.JobBackoff{{Job: "wk-1", MachineID: "vm-2", ForMS: 3_600_000}}
+	node.run(3 * time.Second)
+	spec := newSpec("wk-1", 2)
+	spec.Shape = jobs.ShapeGang
+	room := node.leader.emptyMachineRoom(spec)
+	if room[shardZone{0, ""}] != 0 || room[shardZone{1, ""}] == 0 {
+		t.Errorf("room on empty machines: %v, want some in shard 1 only", room)
+	}
+}
