--- a/review/stand2/lacquer.go
+++ b/review/stand2/lacquer.go
@@ -105,6 +105,8 @@
 	cases["array-behind-services"] = arrayBehindServices
 	cases["service-beside-fragments"] = serviceBesideFragments
 	cases["guarantee"] = guarantee
+	cases["unknown-field"] = unknownField
+	cases["urgent-at-limit"] = urgentAtLimit
 }
 
 // arrayBehindServices plays an array on a spot machine and services on an ordinary one. With the
@@ -204,3 +206,56 @@
 	}
 	return nil
 }
+
+// unknownField plays an array. With the disruption the workers' reports have a field that the protocol
+// does not know.
+func unknownField(record *recorder, trouble bool) error {
+	w, err := begin(record, lacquer())
+	if err != nil {
+		return err
+	}
+	defer w.stop()
+	if trouble {
+		w.mu.Lock()
+		w.release = "2026.12.1"
+		w.mu.Unlock()
+	}
+	array := layerbatch(500, lacquerTeam(0), 2, 10)
+	if err := w.submitAll(array); err != nil {
+		return err
+	}
+	if !w.follow(array.ID, "done", lastPollS) && w.startsOf(array.ID) == 0 {
+		record.breaks("nothing_ran", "no task was started in %d s", lastPollS)
+	}
+	return nil
+}
+
+// urgentAtLimit plays services of a team, an urgent array with a task that needs a whole large machine, and
+// a small array. With the disruption three times as many services come.
+func urgentAtLimit(record *recorder, trouble bool) error {
+	w, err := begin(record, lacquer())
+	if err != nil {
+		return err
+	}
+	defer w.stop()
+	services := 21
+	if trouble {
+		services = 63
+	}
+	for i := range services {
+		if err := w.submitAll(glazewatch(100+i, lacquerTeam(0), 4)); err != nil {
+			return err
+		}
+	}
+	w.sleepUntil(30)
+	large := layerbatch(500, lacquerTeam(0), 1, 20)
+	large.Urgency, large.CPUs, large.MemoryGB, large.Loaners = "urgent", 64, 64, true
+	small := layerbatch(501, lacquerTeam(0), 1, 10)
+	if err := w.submitAll(large, small); err != nil {
+		return err
+	}
+	if !w.follow(small.ID, "done", lastPollS) && w.startsOf(small.ID) == 0 {
+		record.breaks(mustRun, "%s has not started at %d s", small.ID, lastPollS)
+	}
+	return nil
+}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -1,6 +1,11 @@
 // Command stand2 plays the cases of the second review: it starts three controllers, by the command
 // of the deploy file, with stand-ins of the state service, the cloud, the workers and the users, and
 // checks the rules. It is called from the repository's root.
+//
+// The cases chaos and quiet are no cases of the review: they play drawn disruptions for a few minutes, for
+// searches by hand. SHARDS=3 gives them three shards, LATE=1 late commits and commands (quiet), and OLD=FILE
+// begins with the controllers of an earlier version, which are then replaced (chaos). KEEP=1 keeps the
+// folder with settings and logs.
 package main
 
 import (
@@ -39,8 +44,10 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.note("case %s, disruption: %v", name, trouble)
 	if err := run(record, trouble); err != nil {
-		record.note("could not run: %v", err)
-		fmt.Println("could not run:", err)
+		record.fails("%v", err)
+	}
+	if record.hasFailed() {
+		fmt.Println("could not run:", record.failed)
 		return exitNotRun
 	}
 	if record.isBroken() {
--- a/review/stand2/record.go
+++ b/review/stand2/record.go
@@ -13,6 +13,7 @@
 	file    *os.File
 	started time.Time
 	broken  []string // rules that were seen broken
+	failed  string   // why the case could not run, "" if it could
 }
 
 func newRecorder(path string) (*recorder, error) {
@@ -39,6 +40,21 @@
 	r.mu.Unlock()
 }
 
+// fails notes that the case could not run.
+func (r *recorder) fails(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	r.note("could not run: %s", text)
+	r.mu.Lock()
+	r.failed = text
+	r.mu.Unlock()
+}
+
+func (r *recorder) hasFailed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed != ""
+}
+
 func (r *recorder) isBroken() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -69,6 +69,8 @@
 	Baton    uint64         `json:"baton"`
 	WarningS *float64       `json:"warningS"`
 	Pieces   []reportedTask `json:"pieces"`
+	// Release is a field that the protocol does not know: the version of the worker's own program.
+	Release string `json:"Build,omitempty"`
 }
 
 type order struct {
@@ -186,7 +188,7 @@
 	k.tick++
 	r := report{
 		Host: k.id, Addr: k.addr, Build: k.place.build, Yard: k.place.yard, Loaners: k.place.loaners,
-		Shift: k.session, Tick: k.tick, Baton: k.token, Pieces: []reportedTask{},
+		Shift: k.session, Tick: k.tick, Baton: k.token, Pieces: []reportedTask{}, Release: k.world.release,
 	}
 	if k.takenAt != nil {
 		seconds := time.Until(*k.takenAt).Seconds()
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -78,17 +78,12 @@
 	cancelledAt map[string]time.Time
 	gangs       map[string]*gangRun
 	heldUntil   time.Time // until when direct commands are held back
+	release     string    // of the workers' program, sent in a field that the protocol does not know; "": not sent
 	copyReports float64   // share of reports of which a late copy arrives
-	failure     string    // why the case could not run
 }
 
-func (w *world) fail(format string, args ...any) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.failure == "" {
-		w.failure = fmt.Sprintf(format, args...)
-	}
-}
+// fail notes that the stand-ins failed, so that the case could not run.
+func (w *world) fail(format string, args ...any) { w.record.fails(format, args...) }
 
 func (w *world) job(id string) *job {
 	w.mu.Lock()
@@ -183,21 +178,21 @@
 	log                           string
 	process                       *exec.Cmd
 	ended                         chan struct{}
-	expected                      bool // it was ended by this program
+	reserved                      []net.Listener // of its ports, until it is started
+	expected                      bool           // it was ended by this program
 }
 
-// freePort returns an address that nobody listens on. It is below the ports that the system gives to
-// outgoing connections, so that none of those takes it before the controller does.
-func freePort() (string, error) {
+// reservePort listens on a free port, so that nobody else gets it until the controller is started. It is
+// below the ports that the system gives to outgoing connections.
+func reservePort() (net.Listener, error) {
 	const first, count, tries = 15000, 15000, 100
 	for range tries {
-		addr := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
-		listener, err := net.Listen("tcp", addr)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count)))
 		if err == nil {
-			return addr, listener.Close()
+			return listener, nil
 		}
 	}
-	return "", errors.New("no free port")
+	return nil, errors.New("no free port")
 }
 
 // deployment is what differs between cases.
@@ -237,9 +232,12 @@
 	for i := range 3 {
 		c := &controller{name: fmt.Sprintf("worker-%d", i), area: d.areas[i%len(d.areas)]}
 		for _, addr := range []*string{&c.serveOn, &c.peerBind} {
-			if *addr, err = freePort(); err != nil {
+			listener, err := reservePort()
+			if err != nil {
 				return nil, err
 			}
+			*addr = listener.Addr().String()
+			c.reserved = append(c.reserved, listener)
 		}
 		if c.state, err = w.state.serve(c.name); err != nil {
 			return nil, err
@@ -314,6 +312,10 @@
 	if err != nil {
 		return err
 	}
+	for _, listener := range c.reserved {
+		_ = listener.Close()
+	}
+	c.reserved = nil
 	process := exec.Command(c.command[0], append(append([]string{}, c.command[1:]...), c.settings)...)
 	process.Stderr, process.Env = log, append(os.Environ(), "LOG_LEVEL="+logLevel)
 	if err := process.Start(); err != nil {
