--- a/review/stand2/chaos.go
+++ b/review/stand2/chaos.go
@@ -181,6 +181,18 @@
 	}
 	defer w.stop()
 	end := record.started.Add(200 * time.Second)
+	gangsFrom := record.started
+	if old := os.Getenv("OLD"); old != "" { // the version in production runs first, and is replaced
+		gangsFrom = record.started.Add(130 * time.Second)
+		for _, c := range w.controllers {
+			w.kill(c)
+			c.command = append([]string{old}, c.command[1:]...)
+			if err := w.start(c, "info"); err != nil {
+				return err
+			}
+		}
+		go w.upgrade()
+	}
 	var group sync.WaitGroup
 	if trouble {
 		w.state.lossy, w.copyReports = 0.01, 0.05
@@ -196,6 +208,9 @@
 		case 1:
 			j.Spread = true
 		case 2:
+			if time.Now().Before(gangsFrom) {
+				break
+			}
 			j.Shape, j.CPUs, j.SamePlace, j.Pieces = "gang", 4, rand.IntN(3) > 0, 2+rand.IntN(10)
 		case 3:
 			j.Shape, j.Urgency, j.CPUs, j.ExpectS, j.Pieces = "daemon", "urgent", 1, 0, 1+rand.IntN(3)
@@ -290,6 +305,29 @@
 	return at, is
 }
 
+// upgrade replaces the controllers by the new version, one after the other.
+func (w *world) upgrade() {
+	command, err := runCommand()
+	if err != nil {
+		w.fail("%v", err)
+		return
+	}
+	time.Sleep(50 * time.Second)
+	for _, c := range w.controllers {
+		c.command = command
+		w.record.note("controller %s is to be new", c.name)
+		select {
+		case <-c.ended: // it comes back new
+		default:
+			w.kill(c)
+			time.Sleep(2 * time.Second)
+			_ = w.start(c, "info")
+		}
+		time.Sleep(20 * time.Second)
+	}
+	w.record.note("all controllers are new")
+}
+
 // disturb plays drawn disruptions one after the other.
 func (w *world) disturb(end time.Time) {
 	busy := map[int]bool{}
--- a/review/stand2/quiet.go
+++ b/review/stand2/quiet.go
@@ -30,7 +30,7 @@
 		}
 	}
 	for where := range d.capacity {
-		if rand.IntN(4) == 0 {
+		if rand.IntN(4) == 0 && os.Getenv("LATE") == "" {
 			d.capacity[where] = 0
 		}
 	}
@@ -39,6 +39,22 @@
 		return err
 	}
 	defer w.stop()
+	late := os.Getenv("LATE") != "" // commits are late or unanswered, and direct commands held back, for 50 s
+	if late {
+		w.state.lossy = 0.15
+		go func() {
+			for time.Since(record.started) < 50*time.Second {
+				time.Sleep(time.Duration(rand.IntN(6000)) * time.Millisecond)
+				w.mu.Lock()
+				w.heldUntil = time.Now().Add(time.Duration(500+rand.IntN(5000)) * time.Millisecond)
+				w.mu.Unlock()
+			}
+			w.state.mu.Lock()
+			w.state.lossy = 0
+			w.state.mu.Unlock()
+			record.note("the troubles are over")
+		}()
+	}
 	var list []*job
 	for n := range 8 {
 		j := layerbatch(1000+n, lacquerTeam(rand.IntN(6)), 1+rand.IntN(4), 5+rand.Float64()*10)
@@ -53,6 +69,9 @@
 			j.Shape, j.Pieces, j.CPUs, j.SamePlace = "gang", 2+rand.IntN(8), min(j.CPUs, 16), rand.IntN(2) == 0
 		case 4:
 			j.Shape, j.ExpectS, j.DueS = "daemon", 0, nil
+			if os.Getenv("LATE") != "" { // review/6 shows what becomes of larger ones
+				j.CPUs, j.MemoryGB = 1, 1
+			}
 		}
 		if rand.IntN(60) == 0 {
 			yard := d.zones[rand.IntN(3)]
@@ -100,6 +119,9 @@
 		}
 	}
 	w.sleepUntil(125)
+	if late {
+		w.sleepUntil(145)
+	}
 	for _, j := range list {
 		_, s := w.poll(0, j.ID)
 		if s.Phase == "done" || j.Shape == "daemon" && s.Running == j.Pieces {
