Review: a stand-in no longer starts a controller that runs

Change: world.start does nothing while the process runs. The cases start each controller once and are not affected.

--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -177,6 +177,7 @@
 	command                       []string
 	log                           string
 	process                       *exec.Cmd
+	starting                      sync.Mutex
 	ended                         chan struct{}
 	reserved                      []net.Listener // of its ports, until it is started
 	expected                      bool           // it was ended by this program
@@ -307,7 +308,17 @@
 	return strings.Fields(string(match[1])), nil
 }
 
+// start starts a controller, unless it runs.
 func (w *world) start(c *controller, logLevel string) error {
+	c.starting.Lock()
+	defer c.starting.Unlock()
+	if c.ended != nil {
+		select {
+		case <-c.ended:
+		default:
+			return nil
+		}
+	}
 	log, err := os.OpenFile(c.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
